--- /dev/null
+++ b/modules/protocol/messages/message.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "protocol/generated/protocol_types.h"
+
+#include <string>
+#include <variant>
+
+namespace quetzal {
+
+/** The two kinds of process that exchange messages. */
+enum class node_role : std::uint8_t
+{
+    Router,
+    Scheduler,
+};
+
+/** The identity of a process of the fleet: its role and the VM on which it runs. */
+struct node_id
+{
+    node_role role = node_role::Router;
+    std::string vm;
+
+    auto operator<=>(const node_id &) const = default;
+};
+
+/** The identity as text, such as "router@vm-1". */
+std::string toText(const node_id &node);
+
+/** Any message between two processes; the order of the alternatives is the wire's numbering. */
+using message = std::variant<protocol::router_report, protocol::grant_batch, protocol::fleet_view,
+                             protocol::configuration_request, protocol::configuration_update,
+                             protocol::heartbeat, protocol::ledger_delta, protocol::ledger_totals,
+                             protocol::renewal_request, protocol::renewal_reply>;
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/protocol/protocol.h
@@ -0,0 +1,11 @@
+#pragma once
+
+/**
+ * Module protocol: the typed messages between routers and schedulers and their codec.
+ *
+ * The message types are generated from idl/protocol.thrift and encoded with Thrift's compact
+ * protocol. Depends on foundation and libthrift; opens no connection.
+ */
+
+#include "protocol/messages/message.h"
+#include "protocol/messages/message_codec.h"
--- /dev/null
+++ b/modules/transport/transport.h
@@ -0,0 +1,13 @@
+#pragma once
+
+/**
+ * Module transport: connections, threads and clocks around the decision objects.
+ *
+ * Framed messages between processes over TCP, the clients of the key-value service and of the VM
+ * list, and the polling of targets' load. Depends on protocol, ownership, targets, telemetry and
+ * cpp-httplib.
+ */
+
+#include "transport/link/message_network.h"
+#include "transport/platform/vm_list_client.h"
+#include "transport/store/store_client.h"
