--- a/modules/protocol/messages/message.h
+++ b/modules/protocol/messages/message.h
@@ -1,7 +1,6 @@
 #pragma once
 
-#include "protocol/generated/protocol_types.h"
-
+#include <quetzal_protocol/protocol_types.h>
 #include <string>
 #include <variant>
 
