--- /dev/null
+++ b/modules/protocol/messages/outgoing_message.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "protocol/messages/message.h"
+
+namespace quetzal {
+
+/** A message that a decision object wants sent. */
+struct outgoing_message
+{
+    node_id to;
+    message content;
+
+    bool operator==(const outgoing_message &) const = default;
+};
+
+} // namespace quetzal
--- a/modules/protocol/protocol.h
+++ b/modules/protocol/protocol.h
@@ -9,3 +9,4 @@
 
 #include "protocol/messages/message.h"
 #include "protocol/messages/message_codec.h"
+#include "protocol/messages/outgoing_message.h"
--- /dev/null
+++ b/modules/routing/node/router_node.cpp
@@ -0,0 +1,431 @@
+#include "routing/node/router_node.h"
+
+#include "configuration/document/document_reader.h"
+#include "foundation/errors/precondition.h"
+#include "foundation/hashing/stable_hash.h"
+
+#include <algorithm>
+#include <type_traits>
+
+namespace quetzal {
+
+namespace {
+
+constexpr absl::Duration retryAdvice = absl::Seconds(1);
+/** Reports older than this cannot carry a grant that is still usable. */
+constexpr absl::Duration reportMemory = absl::Seconds(20);
+
+protocol::ticket_end ticketEndOf(attempt_ending ending)
+{
+    switch (ending) {
+    case attempt_ending::AnsweredWhole:
+        return protocol::ticket_end::AnsweredWhole;
+    case attempt_ending::NotSent:
+    case attempt_ending::RefusedUnrun:
+        return protocol::ticket_end::RefusedUnrun;
+    case attempt_ending::Cancelled:
+        return protocol::ticket_end::Cancelled;
+    case attempt_ending::LostBeforeAnswer:
+    case attempt_ending::LostDuringAnswer:
+    case attempt_ending::Mismatched:
+        return protocol::ticket_end::Failed;
+    }
+    return protocol::ticket_end::Failed;
+}
+
+} // namespace
+
+router_node::router_node(router_node_options options)
+    : m_options(std::move(options))
+    , m_waiting(m_options.mostWaiting)
+{
+}
+
+void router_node::setSchedulers(std::vector<std::string> vms)
+{
+    if (vms == m_schedulers)
+        return;
+    m_schedulers = std::move(vms);
+    m_homeIndex = 0;
+}
+
+void router_node::submit(const request_description &request, absl::Time now)
+{
+    if (m_stopping)
+        return finish(request, result_code::RouterStopping, execution_state::NotRun);
+    if (!m_document)
+        return finish(request, result_code::ConfigurationMissing, execution_state::NotRun);
+    if (isIsolated(now))
+        return finish(request, result_code::RouterIsolated, execution_state::NotRun);
+    if (request.deadline <= now)
+        return finish(request, result_code::DeadlineBeforeDispatch, execution_state::NotRun);
+
+    const result_code pushed = m_waiting.push(request, limitsOf(request.workspace), now);
+    if (pushed != result_code::Ok)
+        return finish(request, pushed, execution_state::NotRun);
+    m_retries.onRequest(request.service);
+    markDue(request.service);
+}
+
+void router_node::onProgress(request_id request, double units)
+{
+    const auto found = m_running.find(request);
+    if (found != m_running.end())
+        bookOf(found->second.ticket.shard).setUnits(found->second.ticket, units);
+}
+
+void router_node::onAttemptEnded(request_id request, const attempt_result &result, absl::Time now)
+{
+    const auto found = m_running.find(request);
+    QUETZAL_PRECONDITION(found != m_running.end());
+    const running_request running = found->second;
+    m_running.erase(found);
+    bookOf(running.ticket.shard).end(running.ticket, ticketEndOf(result.ending), result);
+    markOwnerDue(running.ticket.shard);
+    settleAttempt(running, result, now);
+}
+
+void router_node::onCallerGone(request_id request, absl::Time /*now*/)
+{
+    if (m_waiting.remove(request)) {
+        m_attempts.erase(request);
+        m_actions.emplace_back(finish_request {.request = request,
+                                               .code = result_code::CallerGone,
+                                               .execution = execution_state::NotRun});
+        return;
+    }
+    const auto found = m_running.find(request);
+    if (found == m_running.end() || found->second.cancelled)
+        return;
+    found->second.cancelled = true;
+    m_actions.emplace_back(cancel_attempt {request});
+}
+
+void router_node::onMessage(const node_id &from, const message &content, absl::Time now)
+{
+    if (const auto *grants = std::get_if<protocol::grant_batch>(&content))
+        onGrants(from, *grants, now);
+    else if (const auto *view = std::get_if<protocol::fleet_view>(&content))
+        onFleetView(*view, now);
+    else if (const auto *update = std::get_if<protocol::configuration_update>(&content))
+        onConfiguration(*update);
+}
+
+void router_node::beginStop(absl::Time /*now*/)
+{
+    m_stopping = true;
+}
+
+void router_node::advance(absl::Time now)
+{
+    refuseExpired(now);
+    refuseWhileIsolated(now);
+    sendReports(now);
+}
+
+std::vector<router_action> router_node::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+bool router_node::isIsolated(absl::Time now) const
+{
+    return now - m_lastConnectedView > m_options.isolationTimeout;
+}
+
+bool router_node::isFinished() const
+{
+    const bool booksIdle = std::all_of(m_books.begin(), m_books.end(),
+                                       [](const auto &item) { return item.second.isIdle(); });
+    return m_stopping && m_waiting.size() == 0 && m_running.empty() && booksIdle;
+}
+
+router_status router_node::status(absl::Time now) const
+{
+    return {.configurationRevision = m_revision,
+            .isolated = isIsolated(now),
+            .stopping = m_stopping,
+            .waiting = m_waiting.size(),
+            .running = static_cast<int>(m_running.size())};
+}
+
+void router_node::onGrants(const node_id &from, const protocol::grant_batch &batch, absl::Time now)
+{
+    for (auto &[shard, book] : m_books) {
+        const auto known = m_shards.find(shard);
+        if (known != m_shards.end() && known->second.owner == from.vm)
+            book.acknowledge(batch.acknowledgedSequence);
+    }
+    for (const protocol::grant &content : batch.grants)
+        onGrant(content, now);
+    for (const protocol::revocation &item : batch.revocations) {
+        const auto book = m_books.find(item.shard);
+        if (book != m_books.end())
+            book->second.observeEpoch(item.epoch);
+    }
+}
+
+void router_node::onGrant(const protocol::grant &content, absl::Time now)
+{
+    shard_book &book = bookOf(content.shard);
+    if (book.receive(content) != grant_reception::Accepted)
+        return;
+    markOwnerDue(content.shard);
+    std::optional<request_description> request;
+    if (isGrantUsable(content, now))
+        request = m_waiting.pop(content.serviceName, content.workspace);
+    if (!request)
+        return book.giveBack(content);
+    book.begin(content, *request);
+    dispatch(content, *request);
+}
+
+bool router_node::isGrantUsable(const protocol::grant &content, absl::Time now) const
+{
+    const auto sent
+        = std::find_if(m_sentReports.begin(), m_sentReports.end(), [&content](const auto &item) {
+              return item.first == content.reportSequence;
+          });
+    if (sent == m_sentReports.end())
+        return false;
+    if (now >= sent->second + absl::Milliseconds(content.lifetimeMillis))
+        return false;
+    const auto shard = m_shards.find(content.shard);
+    const bool inUse = shard != m_shards.end() && m_document
+        && m_document->isDataCentreIn(shard->second.dataCentre);
+    return inUse && !isIsolated(now);
+}
+
+void router_node::dispatch(const protocol::grant &content, const request_description &request)
+{
+    const std::int64_t attempts = ++m_attempts[request.id];
+    const ticket_reference ticket {
+        .shard = content.shard, .epoch = content.epoch, .ticket = content.ticket};
+    m_running[request.id] = {.request = request, .ticket = ticket, .attempts = attempts};
+    m_actions.emplace_back(dispatch_request {.request = request.id,
+                                             .ticket = ticket,
+                                             .target = content.target,
+                                             .address = content.address,
+                                             .deadline = request.deadline});
+}
+
+void router_node::onFleetView(const protocol::fleet_view &view, absl::Time now)
+{
+    m_lastView = now;
+    if (view.connected)
+        m_lastConnectedView = now;
+    for (const protocol::shard_owner &owner : view.owners)
+        observeOwner(owner);
+    if (view.configurationRevision <= m_revision)
+        return;
+    protocol::configuration_request request;
+    request.haveRevision = m_revision;
+    m_actions.emplace_back(
+        outgoing_message {{node_role::Scheduler, view.scheduler}, std::move(request)});
+}
+
+void router_node::observeOwner(const protocol::shard_owner &owner)
+{
+    known_shard &known = m_shards[owner.shard];
+    if (owner.epoch < known.epoch)
+        return;
+    const bool changed = owner.epoch > known.epoch;
+    known = {.service = owner.serviceName,
+             .dataCentre = owner.dataCentre,
+             .owner = owner.owner,
+             .epoch = owner.epoch};
+    if (!changed)
+        return;
+    bookOf(owner.shard).observeEpoch(owner.epoch);
+    m_owners[owner.owner].due = true;
+}
+
+void router_node::onConfiguration(const protocol::configuration_update &update)
+{
+    if (update.revision <= m_revision)
+        return;
+    if (sha256Hex(update.document) != update.digest)
+        return;
+    document_reading reading = readDocument(update.document);
+    if (!reading.document)
+        return;
+    m_document = std::make_shared<const configuration_document>(std::move(*reading.document));
+    m_revision = update.revision;
+}
+
+void router_node::finish(const request_description &request, result_code code,
+                         execution_state execution)
+{
+    m_attempts.erase(request.id);
+    m_actions.emplace_back(finish_request {
+        .request = request.id, .code = code, .execution = execution, .retryAfter = retryAdvice});
+}
+
+void router_node::settleAttempt(const running_request &running, const attempt_result &result,
+                                absl::Time now)
+{
+    const request_description &request = running.request;
+    switch (result.ending) {
+    case attempt_ending::AnsweredWhole:
+        return finish(request, result_code::Ok, execution_state::Run);
+    case attempt_ending::NotSent:
+    case attempt_ending::RefusedUnrun:
+        return retryOrFinish(running, result_code::TargetRefused, false, now);
+    case attempt_ending::LostBeforeAnswer:
+        if (request.idempotent && !running.cancelled)
+            return retryOrFinish(running, result_code::TargetFailed, true, now);
+        return finish(request, result_code::OutcomeUnknown, execution_state::OutcomeUnknown);
+    case attempt_ending::Mismatched:
+        if (request.idempotent && !running.cancelled)
+            return retryOrFinish(running, result_code::AnswerMismatched, true, now);
+        return finish(request, result_code::AnswerMismatched, execution_state::OutcomeUnknown);
+    case attempt_ending::LostDuringAnswer:
+        return finish(request, result_code::AnswerTruncated, execution_state::OutcomeUnknown);
+    case attempt_ending::Cancelled:
+        return finish(request, result_code::DeadlineDuringAnswer, execution_state::OutcomeUnknown);
+    }
+}
+
+void router_node::retryOrFinish(const running_request &running, result_code code, bool costsBudget,
+                                absl::Time now)
+{
+    const request_description &request = running.request;
+    const execution_state execution
+        = costsBudget ? execution_state::OutcomeUnknown : execution_state::NotRun;
+    if (running.cancelled)
+        return finish(request, result_code::CallerGone, execution);
+    if (request.deadline <= now) {
+        const result_code late
+            = costsBudget ? result_code::DeadlineDuringAnswer : result_code::DeadlineBeforeDispatch;
+        return finish(request, late, execution);
+    }
+    const bool allowed = running.attempts < m_options.mostAttempts
+        && (!costsBudget || m_retries.trySpend(request.service));
+    if (!allowed)
+        return finish(request, code, execution);
+    m_waiting.pushFront(request, now);
+    markDue(request.service);
+}
+
+void router_node::refuseExpired(absl::Time now)
+{
+    for (const request_description &request : m_waiting.popExpired(now))
+        finish(request, result_code::DeadlineBeforeDispatch, execution_state::NotRun);
+}
+
+void router_node::refuseWhileIsolated(absl::Time now)
+{
+    if (m_waiting.size() == 0 || !isIsolated(now))
+        return;
+    for (const request_description &request : m_waiting.popAll())
+        finish(request, result_code::RouterIsolated, execution_state::NotRun);
+}
+
+void router_node::sendReports(absl::Time now)
+{
+    const std::string home = homeScheduler(now);
+    if (!home.empty())
+        m_owners.try_emplace(home);
+
+    for (auto &[owner, state] : m_owners) {
+        const bool regular = owner == home || hasBusinessWith(owner);
+        const absl::Duration sinceLast = now - state.lastReport;
+        const bool heartbeatDue = regular && sinceLast >= m_options.heartbeatInterval;
+        const bool newsDue = state.due && sinceLast >= m_options.leastReportInterval;
+        if (!heartbeatDue && !newsDue)
+            continue;
+        state.lastReport = now;
+        state.due = false;
+        m_actions.emplace_back(
+            outgoing_message {{node_role::Scheduler, owner}, makeReport(owner, now)});
+    }
+    while (!m_sentReports.empty() && m_sentReports.front().second + reportMemory < now)
+        m_sentReports.pop_front();
+}
+
+protocol::router_report router_node::makeReport(const std::string &owner, absl::Time now)
+{
+    protocol::router_report report;
+    report.router = m_options.vm;
+    report.incarnation = m_options.incarnation;
+    report.sequence = ++m_sequence;
+    report.configurationRevision = m_revision;
+    report.stopping = m_stopping;
+    m_sentReports.emplace_back(m_sequence, now);
+
+    std::set<std::string> services;
+    for (const auto &[shard, known] : m_shards) {
+        if (known.owner != owner)
+            continue;
+        services.insert(known.service);
+        report.usages.push_back(bookOf(shard).usage(m_sequence));
+    }
+    for (const std::string &service : services) {
+        protocol::service_demand demand;
+        demand.serviceName = service;
+        for (const queue_summary &summary : m_waiting.summaries(service)) {
+            protocol::workspace_demand item;
+            item.workspace = summary.workspace;
+            item.waiting = summary.waiting;
+            item.headKind = summary.headKind;
+            item.headHint = summary.headHint;
+            demand.workspaces.push_back(std::move(item));
+        }
+        report.demands.push_back(std::move(demand));
+    }
+    return report;
+}
+
+void router_node::markDue(const std::string &service)
+{
+    for (const auto &[shard, known] : m_shards) {
+        if (known.service == service)
+            m_owners[known.owner].due = true;
+    }
+}
+
+void router_node::markOwnerDue(const std::string &shard)
+{
+    const auto known = m_shards.find(shard);
+    if (known != m_shards.end())
+        m_owners[known->second.owner].due = true;
+}
+
+bool router_node::hasBusinessWith(const std::string &owner) const
+{
+    return std::any_of(m_shards.begin(), m_shards.end(), [&](const auto &item) {
+        if (item.second.owner != owner)
+            return false;
+        const auto book = m_books.find(item.first);
+        const bool busy = book != m_books.end() && !book->second.isIdle();
+        return busy || !m_waiting.summaries(item.second.service).empty();
+    });
+}
+
+std::string router_node::homeScheduler(absl::Time now)
+{
+    if (m_schedulers.empty())
+        return {};
+    const absl::Time lastSign = std::max(m_lastView, m_homeSince);
+    if (now - lastSign > m_options.homeTimeout) {
+        if (m_homeSince != absl::InfinitePast())
+            m_homeIndex = (m_homeIndex + 1) % m_schedulers.size();
+        m_homeSince = now;
+    }
+    return m_schedulers[m_homeIndex];
+}
+
+shard_book &router_node::bookOf(const std::string &shard)
+{
+    return m_books.try_emplace(shard, shard).first->second;
+}
+
+queue_limits router_node::limitsOf(const std::string &workspace) const
+{
+    const workspace_definition *found = m_document->findWorkspace(workspace);
+    if (found == nullptr)
+        return {};
+    return {.requests = found->limits.waitingRequests, .bytes = found->limits.bufferedBytes};
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/routing/node/router_node.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include "configuration/document/configuration_document.h"
+#include "protocol/messages/outgoing_message.h"
+#include "routing/node/shard_book.h"
+#include "routing/queue/waiting_queues.h"
+#include "routing/request/request_types.h"
+#include "routing/request/retry_budget.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace quetzal {
+
+/** Options of router_node. */
+struct router_node_options
+{
+    std::string vm;
+    /** Differs at each start of the process. */
+    std::int64_t incarnation = 0;
+    /** Most waiting requests of all workspaces together. */
+    int mostWaiting = 4000;
+    /** Most attempts at targets for one request. */
+    int mostAttempts = 6;
+    /** Pause between two reports to an owner that has nothing new. */
+    absl::Duration heartbeatInterval = absl::Milliseconds(250);
+    /** Least pause between two reports to the same owner. */
+    absl::Duration leastReportInterval = absl::Milliseconds(1);
+    /** Without a connected scheduler for this long the router stops taking new work. */
+    absl::Duration isolationTimeout = absl::Milliseconds(1500);
+    /** Without a fleet view for this long another scheduler is asked. */
+    absl::Duration homeTimeout = absl::Milliseconds(800);
+};
+
+/** What the router's health check and status tell. */
+struct router_status
+{
+    std::int64_t configurationRevision = 0;
+    bool isolated = false;
+    bool stopping = false;
+    int waiting = 0;
+    int running = 0;
+
+    bool operator==(const router_status &) const = default;
+};
+
+/**
+ * All decisions of one router: which requests wait, which are sent where, which are refused.
+ *
+ * Every request is waiting, running (a grant was used for it) or done. The shell submits requests,
+ * carries out the actions that takeActions() returns and reports what became of each attempt.
+ */
+class router_node
+{
+public:
+    explicit router_node(router_node_options options);
+
+    /** The VMs whose schedulers may be asked, by the VM list; the first is preferred. */
+    void setSchedulers(std::vector<std::string> vms);
+    /** A new request; it is refused or waits. */
+    void submit(const request_description &request, absl::Time now);
+    /** Units that the running attempt of a request has streamed so far. */
+    void onProgress(request_id request, double units);
+    /** The running attempt of a request ended. */
+    void onAttemptEnded(request_id request, const attempt_result &result, absl::Time now);
+    /** The caller closed its connection. */
+    void onCallerGone(request_id request, absl::Time now);
+    void onMessage(const node_id &from, const message &content, absl::Time now);
+    /** Takes no new request from now on; running and waiting ones finish. */
+    void beginStop(absl::Time now);
+    /** Does what is due; call at least every 10 ms and after each event. */
+    void advance(absl::Time now);
+
+    /** The actions decided since the last call. */
+    std::vector<router_action> takeActions();
+
+    /** True when the configuration in force cannot be known. */
+    bool isIsolated(absl::Time now) const;
+    /** True when stopping and nothing waits, runs or is left to report. */
+    bool isFinished() const;
+    router_status status(absl::Time now) const;
+    /** The configuration in force; null before the first. */
+    std::shared_ptr<const configuration_document> configuration() const { return m_document; }
+    std::int64_t configurationRevision() const { return m_revision; }
+
+private:
+    struct running_request
+    {
+        request_description request;
+        ticket_reference ticket;
+        std::int64_t attempts = 0;
+        bool cancelled = false;
+    };
+    struct owner_state
+    {
+        absl::Time lastReport = absl::InfinitePast();
+        bool due = false;
+    };
+    struct known_shard
+    {
+        std::string service;
+        std::string dataCentre;
+        std::string owner;
+        std::int64_t epoch = 0;
+    };
+
+    void onGrants(const node_id &from, const protocol::grant_batch &batch, absl::Time now);
+    void onGrant(const protocol::grant &content, absl::Time now);
+    void onFleetView(const protocol::fleet_view &view, absl::Time now);
+    void onConfiguration(const protocol::configuration_update &update);
+    void observeOwner(const protocol::shard_owner &owner);
+    bool isGrantUsable(const protocol::grant &content, absl::Time now) const;
+    void dispatch(const protocol::grant &content, const request_description &request);
+    void finish(const request_description &request, result_code code, execution_state execution);
+    void settleAttempt(const running_request &running, const attempt_result &result,
+                       absl::Time now);
+    void retryOrFinish(const running_request &running, result_code code, bool costsBudget,
+                       absl::Time now);
+    void refuseExpired(absl::Time now);
+    void refuseWhileIsolated(absl::Time now);
+    void sendReports(absl::Time now);
+    protocol::router_report makeReport(const std::string &owner, absl::Time now);
+    void markDue(const std::string &service);
+    void markOwnerDue(const std::string &shard);
+    bool hasBusinessWith(const std::string &owner) const;
+    std::string homeScheduler(absl::Time now);
+    shard_book &bookOf(const std::string &shard);
+    queue_limits limitsOf(const std::string &workspace) const;
+
+    router_node_options m_options;
+    waiting_queues m_waiting;
+    retry_budget m_retries;
+    absl::flat_hash_map<request_id, running_request> m_running;
+    absl::flat_hash_map<request_id, std::int64_t> m_attempts;
+    std::map<std::string, shard_book> m_books;
+    std::map<std::string, known_shard> m_shards;
+    std::map<std::string, owner_state> m_owners;
+    std::vector<std::string> m_schedulers;
+    std::size_t m_homeIndex = 0;
+    absl::Time m_homeSince = absl::InfinitePast();
+    absl::Time m_lastConnectedView = absl::InfinitePast();
+    absl::Time m_lastView = absl::InfinitePast();
+    std::int64_t m_sequence = 0;
+    std::deque<std::pair<std::int64_t, absl::Time>> m_sentReports;
+    std::shared_ptr<const configuration_document> m_document;
+    std::int64_t m_revision = 0;
+    bool m_stopping = false;
+    std::vector<router_action> m_actions;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/routing/node/shard_book.cpp
@@ -0,0 +1,111 @@
+#include "routing/node/shard_book.h"
+
+#include "foundation/errors/precondition.h"
+
+#include <utility>
+
+namespace quetzal {
+
+shard_book::shard_book(std::string shard)
+    : m_shard(std::move(shard))
+{
+}
+
+void shard_book::observeEpoch(std::int64_t epoch)
+{
+    if (epoch <= m_epoch)
+        return;
+    m_epoch = epoch;
+    m_highestTicket = 0;
+    for (reported_outcome &item : m_outcomes)
+        item.firstSequence = 0;
+}
+
+grant_reception shard_book::receive(const protocol::grant &content)
+{
+    if (content.epoch < m_epoch)
+        return grant_reception::Fenced;
+    observeEpoch(content.epoch);
+    if (content.ticket <= m_highestTicket)
+        return grant_reception::Repeated;
+    m_highestTicket = content.ticket;
+    return grant_reception::Accepted;
+}
+
+void shard_book::begin(const protocol::grant &content, const request_description &request)
+{
+    protocol::running_ticket running;
+    running.epoch = content.epoch;
+    running.ticket = content.ticket;
+    running.target = content.target;
+    running.workspace = content.workspace;
+    running.requestKind = request.requestKind;
+    running.hint = request.hint;
+    running.units = 0.0;
+    m_running.insert_or_assign({content.epoch, content.ticket}, std::move(running));
+}
+
+void shard_book::setUnits(const ticket_reference &ticket, double units)
+{
+    const auto found = m_running.find({ticket.epoch, ticket.ticket});
+    if (found != m_running.end())
+        found->second.units = units;
+}
+
+void shard_book::end(const ticket_reference &ticket, protocol::ticket_end ending,
+                     const attempt_result &result)
+{
+    const auto found = m_running.find({ticket.epoch, ticket.ticket});
+    QUETZAL_PRECONDITION(found != m_running.end());
+
+    protocol::ticket_outcome outcome;
+    outcome.epoch = ticket.epoch;
+    outcome.ticket = ticket.ticket;
+    outcome.target = found->second.target;
+    outcome.workspace = found->second.workspace;
+    outcome.ending = ending;
+    outcome.requestKind = found->second.requestKind;
+    outcome.hint = found->second.hint;
+    outcome.units = result.units;
+    outcome.signal = result.signal;
+    outcome.targetInstance = result.targetInstance;
+    m_running.erase(found);
+    m_outcomes.push_back({std::move(outcome)});
+}
+
+void shard_book::giveBack(const protocol::grant &content)
+{
+    protocol::ticket_outcome outcome;
+    outcome.epoch = content.epoch;
+    outcome.ticket = content.ticket;
+    outcome.target = content.target;
+    outcome.workspace = content.workspace;
+    outcome.ending = protocol::ticket_end::ReturnedUnused;
+    outcome.signal = protocol::target_signal::None;
+    m_outcomes.push_back({std::move(outcome)});
+}
+
+protocol::shard_usage shard_book::usage(std::int64_t sequence)
+{
+    protocol::shard_usage result;
+    result.shard = m_shard;
+    result.epochKnown = m_epoch;
+    result.highestTicket = m_highestTicket;
+    for (const auto &[key, running] : m_running)
+        result.running.push_back(running);
+    for (reported_outcome &item : m_outcomes) {
+        if (item.firstSequence == 0)
+            item.firstSequence = sequence;
+        result.outcomes.push_back(item.outcome);
+    }
+    return result;
+}
+
+void shard_book::acknowledge(std::int64_t sequence)
+{
+    std::erase_if(m_outcomes, [sequence](const reported_outcome &item) {
+        return item.firstSequence != 0 && item.firstSequence <= sequence;
+    });
+}
+
+} // namespace quetzal
