--- a/modules/fairness/fairness.h
+++ b/modules/fairness/fairness.h
@@ -9,5 +9,6 @@
 
 #include "fairness/estimate/cost_estimator.h"
 #include "fairness/ledger/ledger_home.h"
+#include "fairness/ledger/ledger_types.h"
 #include "fairness/ledger/ledger_writer.h"
 #include "fairness/order/fair_order.h"
--- /dev/null
+++ b/modules/fairness/ledger/ledger_home.cpp
@@ -0,0 +1,155 @@
+#include "fairness/ledger/ledger_home.h"
+
+#include "foundation/errors/precondition.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+double ledger_home::account::base() const
+{
+    double includedBefore = folded.includedBefore;
+    for (const auto &[writer, part] : byWriter)
+        includedBefore += part.includedBefore;
+    return folded.charged + std::max(0.0, totalBefore - includedBefore);
+}
+
+double ledger_home::account::total() const
+{
+    double sum = base();
+    for (const auto &[writer, part] : byWriter)
+        sum += part.charged;
+    return sum;
+}
+
+ledger_home::ledger_home(std::int64_t incarnation, ledger_home_options options)
+    : m_incarnation(incarnation)
+    , m_options(options)
+{
+    QUETZAL_PRECONDITION(incarnation > 0);
+}
+
+void ledger_home::noteEpoch(const key &shard, std::int64_t epoch)
+{
+    shard_state &known = m_shards[shard];
+    if (epoch <= known.epoch)
+        return;
+    known = {.epoch = epoch, .since = m_now};
+}
+
+bool ledger_home::isFolded(const key &shard, std::int64_t epoch) const
+{
+    const auto found = m_shards.find(shard);
+    return found != m_shards.end() && epoch < found->second.epoch
+        && found->second.since + m_options.foldDelay < m_now;
+}
+
+ledger_answer ledger_home::onChange(const ledger_change &change)
+{
+    const ledger_writer_name writer
+        = parseLedgerWriterName(change.writer).value_or(ledger_writer_name {change.writer, 0});
+    const key shard {change.service, writer.shard};
+    noteEpoch(shard, writer.epoch);
+    writer_state &state = m_writers[{change.service, change.writer}];
+    state.heard = m_now;
+    const bool isLate = change.sequence < state.lastSequence || isFolded(shard, writer.epoch);
+    state.lastSequence = std::max(state.lastSequence, change.sequence);
+    if (!isLate)
+        for (const ledger_line &line : change.lines)
+            takeLine(change, writer, line);
+    return answer(change, state.lastSequence);
+}
+
+void ledger_home::takeLine(const ledger_change &change, const ledger_writer_name &writer,
+                           const ledger_line &line)
+{
+    const auto [place, isNewAccount] = m_accounts.try_emplace({change.service, line.workspace});
+    account &entry = place->second;
+    const double totalBefore = entry.total();
+    const auto [part, isNewWriter] = entry.byWriter.try_emplace(change.writer);
+    contribution &own = part->second;
+    const double chargedBefore = isNewWriter ? line.included : own.charged;
+    own.epoch = writer.epoch;
+    own.charged = line.charged;
+    if (isNewWriter || change.homeIncarnation != m_incarnation) {
+        own.includedBefore = line.included;
+        entry.totalBefore = std::max(entry.totalBefore, line.totalKnown);
+    }
+    const double total = entry.total();
+    const double recovered = total - totalBefore - (line.charged - chargedBefore);
+    const double level = line.totalKnown + line.charged - line.included + line.lift;
+    const double oldLift = entry.lift;
+    entry.lift = isNewAccount ? level - total : std::max(oldLift - recovered, level - total);
+    if (total == totalBefore && entry.lift == oldLift && !isNewWriter)
+        return;
+    entry.version = ++m_version;
+    entry.changed = m_now;
+}
+
+ledger_answer ledger_home::answer(const ledger_change &change, std::int64_t acknowledged) const
+{
+    ledger_answer result {.service = change.service,
+                          .writer = change.writer,
+                          .homeIncarnation = m_incarnation,
+                          .acknowledgedSequence = acknowledged,
+                          .lines = {},
+                          .version = m_version};
+    const std::int64_t heard = change.homeIncarnation == m_incarnation ? change.heardVersion : 0;
+    for (auto place = m_accounts.lower_bound({change.service, ""});
+         place != m_accounts.end() && place->first.first == change.service; ++place) {
+        const account &entry = place->second;
+        const auto own = entry.byWriter.find(change.writer);
+        if (entry.version <= heard || own == entry.byWriter.end())
+            continue;
+        result.lines.push_back({.workspace = place->first.second,
+                                .charged = entry.total(),
+                                .lift = entry.lift,
+                                .included = own->second.charged});
+    }
+    return result;
+}
+
+void ledger_home::foldEnded(const key &name, account &entry, absl::Time) const
+{
+    for (auto place = entry.byWriter.begin(); place != entry.byWriter.end();) {
+        const contribution &part = place->second;
+        const auto writer = parseLedgerWriterName(place->first);
+        if (!writer || !isFolded({name.first, writer->shard}, part.epoch)) {
+            ++place;
+            continue;
+        }
+        entry.folded.charged += part.charged;
+        entry.folded.includedBefore += part.includedBefore;
+        place = entry.byWriter.erase(place);
+    }
+}
+
+void ledger_home::advance(absl::Time now)
+{
+    m_now = now;
+    for (auto place = m_accounts.begin(); place != m_accounts.end();) {
+        foldEnded(place->first, place->second, now);
+        const bool isIdle = place->second.changed + m_options.idleExpiry < now;
+        place = isIdle ? m_accounts.erase(place) : std::next(place);
+    }
+    const auto isOld = [&](const auto &item) {
+        return item.second.heard + m_options.idleExpiry < now;
+    };
+    std::erase_if(m_writers, isOld);
+}
+
+double ledger_home::total(const std::string &service, const std::string &workspace) const
+{
+    const auto found = m_accounts.find({service, workspace});
+    return found == m_accounts.end() ? 0.0 : found->second.total();
+}
+
+std::size_t ledger_home::writerCount() const
+{
+    std::size_t count = 0;
+    for (const auto &[name, entry] : m_accounts)
+        count += entry.byWriter.size();
+    return count;
+}
+
+} // namespace quetzal
--- a/modules/fairness/ledger/ledger_home.h
+++ b/modules/fairness/ledger/ledger_home.h
@@ -2,39 +2,102 @@
 
 #include "fairness/ledger/ledger_types.h"
 
+#include <absl/time/time.h>
+
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
 namespace quetzal {
 
+/** Options of ledger_home. */
+struct ledger_home_options
+{
+    /** How long the account of an ended writer is kept apart, for its late messages. */
+    absl::Duration foldDelay = absl::Seconds(30);
+    /** How long an account without any change is kept; its writers refill it later. */
+    absl::Duration idleExpiry = absl::Minutes(5);
+};
+
 /**
  * Keeps the totals of the workspaces of which this scheduler is the home.
  *
- * Values are cumulative for each writer, so that repeats and reordering never count twice.
+ * Values are cumulative for each writer, so that repeats and reordering never count twice. A
+ * total is what the known writers have charged, plus the ended writers' charges, plus what the
+ * writers knew of an earlier home's total that none of these accounts for. So a home that
+ * restarts empty, or becomes the home of a workspace, is refilled by the lines that the writers
+ * send to it.
  */
 class ledger_home
 {
 public:
-    explicit ledger_home(std::int64_t incarnation);
+    /** The incarnation must be positive and grow with every restart. */
+    explicit ledger_home(std::int64_t incarnation, ledger_home_options options = {});
 
     /** Takes a writer's change and returns what the writer does not know yet. */
     ledger_answer onChange(const ledger_change &change);
+    /** Folds ended writers and forgets idle accounts; to be called about once a second. */
+    void advance(absl::Time now);
+
+    /** The total of a workspace as this home knows it; 0 when it knows none. */
+    double total(const std::string &service, const std::string &workspace) const;
+    /** Accounts held now. */
+    std::size_t size() const { return m_accounts.size(); }
+    /** Writers kept apart over all accounts. */
+    std::size_t writerCount() const;
 
 private:
+    /** One writer's part of an account. */
+    struct contribution
+    {
+        std::int64_t epoch = 0;
+        double charged = 0.0;
+        /** The part of charged that was in a total which another home had told. */
+        double includedBefore = 0.0;
+    };
     struct account
     {
-        std::map<std::string, double> chargedByWriter;
-        /** What the total exceeds the sum of the known writers by, after a restart. */
-        double base = 0.0;
+        std::map<std::string, contribution> byWriter;
+        /** Charges and includedBefore of writers that have been folded. */
+        contribution folded;
+        /** Largest total of an earlier home that a writer has told. */
+        double totalBefore = 0.0;
         double lift = 0.0;
         std::int64_t version = 0;
+        absl::Time changed;
+
+        double base() const;
+        double total() const;
+    };
+    struct shard_state
+    {
+        std::int64_t epoch = 0;
+        absl::Time since;
     };
+    struct writer_state
+    {
+        std::int64_t lastSequence = 0;
+        absl::Time heard;
+    };
+    using key = std::pair<std::string, std::string>;
+
+    void noteEpoch(const key &shard, std::int64_t epoch);
+    bool isFolded(const key &shard, std::int64_t epoch) const;
+    void takeLine(const ledger_change &change, const ledger_writer_name &writer,
+                  const ledger_line &line);
+    ledger_answer answer(const ledger_change &change, std::int64_t acknowledged) const;
+    void foldEnded(const key &name, account &entry, absl::Time now) const;
 
     std::int64_t m_incarnation;
+    ledger_home_options m_options;
+    absl::Time m_now = absl::InfinitePast();
     std::int64_t m_version = 0;
-    std::map<std::pair<std::string, std::string>, account> m_accounts;
-    std::map<std::pair<std::string, std::string>, std::int64_t> m_heardVersions;
+    std::map<key, account> m_accounts;
+    /** Newest epoch heard of each service's shards. */
+    std::map<key, shard_state> m_shards;
+    std::map<key, writer_state> m_writers;
 };
 
 } // namespace quetzal
--- /dev/null
+++ b/modules/fairness/ledger/ledger_types.cpp
@@ -0,0 +1,31 @@
+#include "fairness/ledger/ledger_types.h"
+
+#include <charconv>
+
+namespace quetzal {
+
+namespace {
+
+constexpr char separator = '#';
+
+} // namespace
+
+std::string toText(const ledger_writer_name &name)
+{
+    return name.shard + separator + std::to_string(name.epoch);
+}
+
+std::optional<ledger_writer_name> parseLedgerWriterName(std::string_view text)
+{
+    const auto place = text.rfind(separator);
+    if (place == std::string_view::npos)
+        return std::nullopt;
+    ledger_writer_name name {.shard = std::string(text.substr(0, place))};
+    const char *end = text.data() + text.size();
+    const auto [stop, error] = std::from_chars(text.data() + place + 1, end, name.epoch);
+    if (error != std::errc {} || stop != end)
+        return std::nullopt;
+    return name;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/fairness/ledger/ledger_writer.cpp
@@ -0,0 +1,135 @@
+#include "fairness/ledger/ledger_writer.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+ledger_writer::ledger_writer(std::string service, std::string writer)
+    : m_service(std::move(service))
+    , m_writer(std::move(writer))
+{
+}
+
+void ledger_writer::markChanged(entry &line) const
+{
+    line.changedAt = m_sequence + 1;
+    line.acknowledged = false;
+}
+
+void ledger_writer::moveTo(entry &line, std::string home) const
+{
+    if (line.home == home)
+        return;
+    line.home = std::move(home);
+    markChanged(line);
+}
+
+void ledger_writer::touch(const std::string &workspace)
+{
+    markChanged(m_entries[workspace]);
+}
+
+void ledger_writer::onHomesMoved()
+{
+    m_homesMoved = true;
+}
+
+std::vector<std::pair<std::string, ledger_change>>
+ledger_writer::collect(const fair_order &order,
+                       const std::function<std::string(const std::string &workspace)> &homeOf)
+{
+    std::map<std::string, ledger_change> changes;
+    for (auto &[workspace, line] : m_entries) {
+        const bool asks = order.isBacklogged(workspace);
+        if (line.acknowledged && !asks && !m_homesMoved)
+            continue;
+        moveTo(line, homeOf(workspace));
+        if (line.acknowledged && order.lift(workspace) != line.sentLift)
+            markChanged(line);
+        if (line.acknowledged && !asks)
+            continue;
+        ledger_change &change = changes[line.home];
+        if (line.acknowledged)
+            continue;
+        line.sentLift = order.lift(workspace);
+        change.lines.push_back({.workspace = workspace,
+                                .charged = order.virtualCharged(workspace),
+                                .totalKnown = line.totalKnown,
+                                .lift = line.sentLift,
+                                .included = line.included});
+    }
+    m_homesMoved = false;
+    if (!changes.empty())
+        ++m_sequence;
+    std::vector<std::pair<std::string, ledger_change>> result;
+    for (auto &[home, change] : changes) {
+        const home_state &heard = m_homes[home];
+        change.service = m_service;
+        change.writer = m_writer;
+        change.sequence = m_sequence;
+        change.homeIncarnation = heard.incarnation;
+        change.heardVersion = heard.version;
+        result.emplace_back(home, std::move(change));
+    }
+    return result;
+}
+
+void ledger_writer::startOver(const std::string &home, std::int64_t incarnation)
+{
+    m_homes[home] = {.incarnation = incarnation};
+    for (auto &[workspace, line] : m_entries)
+        if (line.home == home)
+            markChanged(line);
+}
+
+void ledger_writer::onHomeIncarnation(const std::string &home, std::int64_t incarnation)
+{
+    const auto found = m_homes.find(home);
+    if (found != m_homes.end() && incarnation > found->second.incarnation)
+        startOver(home, incarnation);
+}
+
+void ledger_writer::acknowledge(const std::string &home, std::int64_t sequence)
+{
+    for (auto &[workspace, line] : m_entries)
+        if (line.home == home && line.changedAt <= sequence)
+            line.acknowledged = true;
+}
+
+void ledger_writer::takeLine(const ledger_line &line, fair_order &order)
+{
+    const auto found = m_entries.find(line.workspace);
+    if (found == m_entries.end())
+        return;
+    entry &known = found->second;
+    const bool liftedSince = order.lift(line.workspace) != known.sentLift;
+    const double level = order.virtualTime(line.workspace);
+    order.setRemoteTotal(line.workspace, line.charged - line.included);
+    order.setLift(line.workspace, line.lift);
+    if (liftedSince && order.virtualTime(line.workspace) < level)
+        order.setLift(line.workspace, line.lift + level - order.virtualTime(line.workspace));
+    known.sentLift = line.lift;
+    known.totalKnown = line.charged;
+    known.included = line.included;
+}
+
+void ledger_writer::onAnswer(const std::string &home, const ledger_answer &answer,
+                             fair_order &order)
+{
+    if (answer.service != m_service || answer.writer != m_writer)
+        return;
+    home_state &heard = m_homes[home];
+    if (answer.homeIncarnation < heard.incarnation)
+        return;
+    const bool restarted = answer.homeIncarnation > heard.incarnation;
+    if (restarted)
+        startOver(home, answer.homeIncarnation);
+    if (answer.version < heard.version)
+        return;
+    acknowledge(home, answer.acknowledgedSequence);
+    for (const ledger_line &line : answer.lines)
+        takeLine(line, order);
+    heard.version = answer.version;
+}
+
+} // namespace quetzal
--- a/modules/fairness/order/fair_order.h
+++ b/modules/fairness/order/fair_order.h
@@ -1,26 +1,36 @@
 #pragma once
 
-#include <absl/container/flat_hash_map.h>
+#include <absl/container/btree_set.h>
+#include <absl/container/node_hash_map.h>
 
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace quetzal {
 
 /**
  * The order in which the workspaces of one service are served (start-time fair queueing).
  *
- * A workspace's virtual time is its total charge over its share plus its lift. The backlogged
- * workspace with the least virtual time is next; ties go to the lesser name. A workspace that
- * becomes backlogged is lifted to the least virtual time of the backlogged, so that idling earns
- * no credit. Charges are estimates at dispatch, corrected later by settle().
+ * Each charge counts as amount over share, at the share of that moment, so that a later change of
+ * the share does not rewrite the past. A workspace's virtual time is the sum of these virtual
+ * charges, here and at other shards, plus its lift. The backlogged workspace with the least
+ * virtual time is next; ties go to the lesser name. A workspace that becomes backlogged is lifted
+ * to the least virtual time of the backlogged, so that idling earns no credit. Charges are
+ * estimates at dispatch, corrected by a later charge of the difference.
+ *
+ * The backlogged are kept in an ordered index: next() costs a step for each workspace refused by
+ * isEligible, every change costs the logarithm of the backlogged.
  */
 class fair_order
 {
 public:
     /** Sets a workspace's share, which must be positive; creates the workspace. */
     void setShare(const std::string &workspace, double share);
+    /** Forgets a workspace that the configuration no longer names. */
+    void remove(const std::string &workspace);
     /** Says whether the workspace has waiting requests. */
     void setBacklogged(const std::string &workspace, bool backlogged);
     /** The backlogged workspace to serve next among those that isEligible accepts. */
@@ -28,13 +38,19 @@
     next(const std::function<bool(const std::string &)> &isEligible) const;
     /** Adds a charge in the service's unit; negative to give back. */
     void charge(const std::string &workspace, double amount);
-    /** Total charged at other shards, which replaces the earlier value. */
+    /** Virtual charges of the other shards, which replace the earlier value. */
     void setRemoteTotal(const std::string &workspace, double total);
     /** Raises the lift to at least this value, as another shard has seen. */
     void raiseLift(const std::string &workspace, double lift);
+    /** Replaces the lift, which may fall when the total turns out to be higher than was known. */
+    void setLift(const std::string &workspace, double lift);
 
-    /** Charges of this shard since it began. */
+    /** Charges of this shard since it began, in the service's unit. */
     double charged(const std::string &workspace) const;
+    /** Charges of this shard since it began, each over the share of its moment. */
+    double virtualCharged(const std::string &workspace) const;
+    /** Virtual charges of the other shards as last set. */
+    double remoteTotal(const std::string &workspace) const;
     double lift(const std::string &workspace) const;
     double virtualTime(const std::string &workspace) const;
     bool isBacklogged(const std::string &workspace) const;
@@ -46,15 +62,23 @@
     {
         double share = 1.0;
         double charged = 0.0;
+        double virtualCharged = 0.0;
         double remoteTotal = 0.0;
         double lift = 0.0;
         bool backlogged = false;
     };
+    using account_map = absl::node_hash_map<std::string, account>;
 
     static double virtualTimeOf(const account &entry);
+    const account *find(const std::string &workspace) const;
+    /** Applies a change to an account and keeps the index in step. */
+    template <typename change_function>
+    void update(const std::string &workspace, change_function change);
 
-    absl::flat_hash_map<std::string, account> m_accounts;
-    mutable double m_lastVirtualTime = 0.0;
+    account_map m_accounts;
+    /** Virtual time and name of each backlogged workspace; the names are keys of m_accounts. */
+    absl::btree_set<std::pair<double, std::string_view>> m_backlogged;
+    double m_lastVirtualTime = 0.0;
 };
 
 } // namespace quetzal
