--- a/modules/configuration/document/configuration_document.h
+++ b/modules/configuration/document/configuration_document.h
@@ -69,8 +69,8 @@
     std::vector<std::string> models;
     std::vector<request_kind> requestKinds;
     std::vector<call_rule> calls;
-    /** Most targets in one shard. */
-    int targetsPerShard = 18;
+    /** Into how many shards the targets of each data centre are divided. */
+    int shardsPerDataCentre = 1;
     /** Most concurrent requests of a warm target. */
     int slotsPerTarget = 8;
     /** Most concurrent requests of a target that has just started. */
--- a/modules/configuration/document/document_reader.cpp
+++ b/modules/configuration/document/document_reader.cpp
@@ -70,7 +70,8 @@
         result.requestKinds.push_back(readRequestKind(kind));
     for (json_reader &call : reader.objects("calls"))
         result.calls.push_back(readCallRule(call));
-    result.targetsPerShard = static_cast<int>(reader.optionalInteger("targetsPerShard", 1, 64, 18));
+    result.shardsPerDataCentre
+        = static_cast<int>(reader.optionalInteger("shardsPerDataCentre", 1, 256, 1));
     result.slotsPerTarget
         = static_cast<int>(reader.optionalInteger("slotsPerTarget", 1, mostSlots, 8));
     result.coldSlotsPerTarget
@@ -227,7 +228,7 @@
                             {"models", item.models},
                             {"requestKinds", kinds},
                             {"calls", calls},
-                            {"targetsPerShard", item.targetsPerShard},
+                            {"shardsPerDataCentre", item.shardsPerDataCentre},
                             {"slotsPerTarget", item.slotsPerTarget},
                             {"coldSlotsPerTarget", item.coldSlotsPerTarget},
                             {"largestRequest", item.largestRequest},
--- a/modules/protocol/idl/protocol.thrift
+++ b/modules/protocol/idl/protocol.thrift
@@ -161,7 +161,9 @@
     /** Largest total that the writer has learned from the home. */
     3: double totalKnown,
     /** Virtual time added when the workspace became backlogged. */
-    4: double lift
+    4: double lift,
+    /** The part of the total that is the writer's own charge, as the home had it. */
+    5: double included
 }
 
 /** Shard owner to ledger home; cumulative values, so a repeat never counts twice. */
@@ -170,7 +172,11 @@
     /** Shard and epoch that charged. */
     2: string writer,
     3: i64 sequence,
-    4: list<ledger_entry> entries
+    4: list<ledger_entry> entries,
+    /** Incarnation of the home as the writer last heard it; 0 when never. */
+    5: i64 homeIncarnation,
+    /** Version of the home's last answer that the writer has taken; 0 asks for every total. */
+    6: i64 heardVersion
 }
 
 /** Ledger home to shard owner: totals over all writers. */
@@ -180,7 +186,9 @@
     3: i64 homeIncarnation,
     4: i64 acknowledgedSequence,
     5: list<ledger_entry> entries,
-    6: string writer
+    6: string writer,
+    /** The home's version that the entries bring the writer to. */
+    7: i64 version
 }
 
 /** Asks a peer to renew this scheduler's lease at the store. */
--- /dev/null
+++ b/modules/scheduling/shard/demand_table.cpp
@@ -0,0 +1,82 @@
+#include "scheduling/shard/demand_table.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+std::set<std::string> demand_table::replace(const std::string &router,
+                                            const protocol::service_demand &demand)
+{
+    std::set<std::string> changed = forget(router);
+    for (const protocol::workspace_demand &item : demand.workspaces) {
+        m_byWorkspace[item.workspace][router] = {.waiting = item.waiting,
+                                                 .pending = 0,
+                                                 .headKind = item.headKind,
+                                                 .headHint = item.headHint};
+        changed.insert(item.workspace);
+    }
+    return changed;
+}
+
+std::set<std::string> demand_table::forget(const std::string &router)
+{
+    std::set<std::string> changed;
+    for (auto &[workspace, byRouter] : m_byWorkspace) {
+        if (byRouter.erase(router) > 0)
+            changed.insert(workspace);
+    }
+    std::erase_if(m_byWorkspace, [](const auto &item) { return item.second.empty(); });
+    return changed;
+}
+
+void demand_table::addPending(const std::string &workspace, const std::string &router, int count)
+{
+    const auto byRouter = m_byWorkspace.find(workspace);
+    if (byRouter == m_byWorkspace.end())
+        return;
+    const auto found = byRouter->second.find(router);
+    if (found != byRouter->second.end())
+        found->second.pending += count;
+}
+
+bool demand_table::isWaiting(const std::string &workspace) const
+{
+    const auto byRouter = m_byWorkspace.find(workspace);
+    return byRouter != m_byWorkspace.end()
+        && std::any_of(byRouter->second.begin(), byRouter->second.end(),
+                       [](const auto &item) { return item.second.waiting > 0; });
+}
+
+bool demand_table::hasUngranted(const std::string &workspace) const
+{
+    return routerToServe(workspace).has_value();
+}
+
+std::optional<std::string> demand_table::routerToServe(const std::string &workspace) const
+{
+    const auto byRouter = m_byWorkspace.find(workspace);
+    if (byRouter == m_byWorkspace.end())
+        return std::nullopt;
+    std::optional<std::string> best;
+    int mostUngranted = 0;
+    for (const auto &[router, demand] : byRouter->second) {
+        const int ungranted = demand.waiting - demand.pending;
+        if (ungranted <= mostUngranted)
+            continue;
+        mostUngranted = ungranted;
+        best = router;
+    }
+    return best;
+}
+
+const router_demand *demand_table::find(const std::string &workspace,
+                                        const std::string &router) const
+{
+    const auto byRouter = m_byWorkspace.find(workspace);
+    if (byRouter == m_byWorkspace.end())
+        return nullptr;
+    const auto found = byRouter->second.find(router);
+    return found == byRouter->second.end() ? nullptr : &found->second;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/scheduling/shard/shard_scheduler.cpp
@@ -0,0 +1,451 @@
+#include "scheduling/shard/shard_scheduler.h"
+
+#include "foundation/errors/precondition.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace quetzal {
+
+namespace {
+
+target_evidence evidenceOf(const protocol::ticket_outcome &outcome)
+{
+    switch (outcome.signal) {
+    case protocol::target_signal::Leaving:
+        return target_evidence::Leaving;
+    case protocol::target_signal::ConnectionRefused:
+        return target_evidence::Refused;
+    case protocol::target_signal::ConnectionReset:
+        return target_evidence::Reset;
+    case protocol::target_signal::Overloaded:
+        return target_evidence::Overloaded;
+    case protocol::target_signal::Silent:
+        return target_evidence::Silent;
+    case protocol::target_signal::None:
+        return target_evidence::Answered;
+    }
+    return target_evidence::Answered;
+}
+
+bool carriesEvidence(const protocol::ticket_outcome &outcome)
+{
+    return outcome.ending == protocol::ticket_end::AnsweredWhole
+        || outcome.signal != protocol::target_signal::None || !outcome.targetInstance.empty();
+}
+
+cost_features featuresOf(const std::string &workspace, const std::string &kind, double hint)
+{
+    return {.workspace = workspace, .requestKind = kind, .hint = hint};
+}
+
+} // namespace
+
+shard_scheduler::shard_scheduler(shard_scheduler_options options,
+                                 const configuration_document &document)
+    : m_options(std::move(options))
+    , m_estimator({.initialEstimate = m_options.service.largestRequest / 16.0,
+                   .largestRequest = m_options.service.largestRequest})
+    , m_ledger(m_options.service.name,
+               toText(ledger_writer_name {.shard = m_options.shard, .epoch = m_options.epoch}))
+{
+    setConfiguration(document);
+}
+
+void shard_scheduler::setConfiguration(const configuration_document &document)
+{
+    const service_definition *service = document.findService(m_options.service.name);
+    if (service != nullptr)
+        m_options.service = *service;
+    m_dataCentreIn = service != nullptr && document.isDataCentreIn(m_options.dataCentre);
+    m_excludedWorkspaces.clear();
+    for (const workspace_definition &workspace : document.workspaces) {
+        m_order.setShare(workspace.name, workspace.share);
+        m_shares[workspace.name] = workspace.share;
+        const std::vector<std::string> &allowed = workspace.dataCentres;
+        const bool excluded = !allowed.empty()
+            && std::find(allowed.begin(), allowed.end(), m_options.dataCentre) == allowed.end();
+        if (excluded)
+            m_excludedWorkspaces.insert(workspace.name);
+    }
+    for (auto &[name, target] : m_targets)
+        target.admission.setLimits(m_options.service.coldSlotsPerTarget,
+                                   m_options.service.slotsPerTarget);
+}
+
+void shard_scheduler::setTargets(const std::vector<target_listing> &listings, absl::Time now)
+{
+    std::set<std::string> listed;
+    for (const target_listing &listing : listings) {
+        listed.insert(listing.target);
+        const auto [found, added] = m_targets.try_emplace(
+            listing.target, target_state {target_admission(listing, admissionOptions(), now)});
+        if (!added)
+            found->second.admission.observeListing(listing, now);
+    }
+    for (auto &[name, target] : m_targets) {
+        if (!listed.contains(name))
+            target.admission.observeUnlisted(now);
+    }
+    std::erase_if(m_targets, [&listed](const auto &item) {
+        return !listed.contains(item.first) && item.second.inUse == 0;
+    });
+}
+
+void shard_scheduler::setRouters(const std::set<std::string> &routers)
+{
+    m_expectedRouters = routers;
+}
+
+void shard_scheduler::onLoad(const std::string &target, const target_load &load, absl::Time now)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end())
+        found->second.admission.observeLoad(load, now);
+}
+
+void shard_scheduler::onReport(const protocol::router_report &report, absl::Time now)
+{
+    router_state &router = m_routers[report.router];
+    if (report.incarnation < router.incarnation)
+        return;
+    if (report.incarnation > router.incarnation) {
+        releaseAll(report.router, now);
+        router = {.incarnation = report.incarnation};
+    }
+    if (report.sequence <= router.sequence)
+        return;
+    router.sequence = report.sequence;
+    router.heard = now;
+
+    for (const protocol::shard_usage &usage : report.usages) {
+        if (usage.shard == m_options.shard)
+            takeUsage(report, usage, now);
+    }
+    protocol::service_demand demand;
+    for (const protocol::service_demand &item : report.demands) {
+        if (item.serviceName == m_options.service.name)
+            demand = item;
+    }
+    const std::set<std::string> changed = m_demand.replace(report.router, demand);
+    recountPending(report.router);
+    updateBacklog(changed);
+}
+
+void shard_scheduler::advance(absl::Time now)
+{
+    for (auto &[name, router] : m_routers) {
+        if (now - router.heard <= m_options.routerTimeout)
+            continue;
+        releaseAll(name, now);
+        updateBacklog(m_demand.forget(name));
+    }
+    std::erase_if(m_routers, [&](const auto &item) {
+        return now - item.second.heard > m_options.routerTimeout
+            && !m_expectedRouters.contains(item.first);
+    });
+}
+
+std::vector<addressed_grant> shard_scheduler::grant(ownership_certainty certainty, absl::Time now)
+{
+    std::vector<addressed_grant> grants;
+    if (!m_dataCentreIn || m_superseded)
+        return grants;
+    const auto isEligible = [this](const std::string &workspace) {
+        return !m_excludedWorkspaces.contains(workspace) && m_demand.hasUngranted(workspace);
+    };
+    while (true) {
+        const std::string target = freestTarget(certainty, now);
+        if (target.empty())
+            return grants;
+        const std::optional<std::string> workspace = m_order.next(isEligible);
+        if (!workspace)
+            return grants;
+        grants.push_back(issue(*workspace, target, now));
+    }
+}
+
+std::vector<std::pair<std::string, ledger_change>> shard_scheduler::collectLedger(
+    const std::function<std::string(const std::string &workspace)> &homeOf)
+{
+    return m_ledger.collect(m_order, homeOf);
+}
+
+void shard_scheduler::onLedgerAnswer(const std::string &home, const ledger_answer &answer)
+{
+    m_ledger.onAnswer(home, answer, m_order);
+}
+
+void shard_scheduler::onHomesMoved()
+{
+    m_ledger.onHomesMoved();
+}
+
+std::vector<target_status> shard_scheduler::targetStatus(absl::Time now) const
+{
+    std::vector<target_status> result;
+    for (const auto &[name, target] : m_targets)
+        result.push_back({.target = name,
+                          .phase = target.admission.phase(now),
+                          .limit = target.admission.limit(now),
+                          .inUse = target.inUse});
+    return result;
+}
+
+std::vector<workspace_status> shard_scheduler::workspaceStatus() const
+{
+    std::vector<workspace_status> result;
+    for (const auto &[workspace, share] : m_shares)
+        result.push_back({.workspace = workspace,
+                          .share = share,
+                          .virtualTime = m_order.virtualTime(workspace),
+                          .charged = m_order.charged(workspace),
+                          .backlogged = m_order.isBacklogged(workspace)});
+    return result;
+}
+
+target_admission_options shard_scheduler::admissionOptions() const
+{
+    return {.warmLimit = m_options.service.slotsPerTarget,
+            .coldLimit = m_options.service.coldSlotsPerTarget};
+}
+
+void shard_scheduler::takeUsage(const protocol::router_report &report,
+                                const protocol::shard_usage &usage, absl::Time now)
+{
+    if (usage.epochKnown > m_options.epoch)
+        m_superseded = true;
+    for (const protocol::running_ticket &running : usage.running)
+        takeRunning(report.router, running);
+    for (const protocol::ticket_outcome &outcome : usage.outcomes)
+        takeOutcome(outcome, now);
+    releaseUnlisted(report.router, usage, now);
+    router_state &router = m_routers[report.router];
+    if (usage.epochKnown == m_options.epoch) {
+        router.complete = true;
+        router.highestTicket = std::max(router.highestTicket, usage.highestTicket);
+    }
+}
+
+void shard_scheduler::takeRunning(const std::string &router,
+                                  const protocol::running_ticket &running)
+{
+    const cost_features features = featuresOf(running.workspace, running.requestKind, running.hint);
+    const double expected = estimate(features, running.units);
+    const ticket_key key {running.epoch, running.ticket};
+    const auto [found, added] = m_tickets.try_emplace(key);
+    ticket_state &ticket = found->second;
+    if (added) {
+        ticket = {.router = router,
+                  .workspace = running.workspace,
+                  .target = running.target,
+                  .requestKind = running.requestKind,
+                  .hint = running.hint};
+        occupy(running.target, 1);
+        const bool chargedByFormerOwner = running.epoch < m_options.epoch;
+        if (chargedByFormerOwner)
+            ticket.charged = expected;
+    }
+    ticket.running = true;
+    ticket.requestKind = running.requestKind;
+    ticket.hint = running.hint;
+    chargeWorkspace(ticket.workspace, expected - ticket.charged);
+    ticket.charged = expected;
+}
+
+void shard_scheduler::takeOutcome(const protocol::ticket_outcome &outcome, absl::Time now)
+{
+    const auto found = m_tickets.find({outcome.epoch, outcome.ticket});
+    if (found == m_tickets.end())
+        return;
+    const auto target = m_targets.find(outcome.target);
+    if (target != m_targets.end() && carriesEvidence(outcome))
+        target->second.admission.observeEvidence(evidenceOf(outcome), outcome.targetInstance, now);
+    if (outcome.ending == protocol::ticket_end::AnsweredWhole)
+        m_estimator.learn(featuresOf(outcome.workspace, outcome.requestKind, outcome.hint),
+                          outcome.units);
+    settle(found, finalCharge(outcome));
+}
+
+void shard_scheduler::releaseUnlisted(const std::string &router, const protocol::shard_usage &usage,
+                                      absl::Time /*now*/)
+{
+    std::set<ticket_key> listed;
+    for (const protocol::running_ticket &running : usage.running)
+        listed.insert({running.epoch, running.ticket});
+    for (auto item = m_tickets.begin(); item != m_tickets.end();) {
+        const auto current = item++;
+        const ticket_key &key = current->first;
+        if (current->second.router != router || listed.contains(key))
+            continue;
+        const bool formerEpoch = key.first < m_options.epoch;
+        const bool overtaken
+            = usage.epochKnown == m_options.epoch && key.second <= usage.highestTicket;
+        if (formerEpoch || overtaken)
+            settle(current, 0.0);
+    }
+}
+
+void shard_scheduler::releaseAll(const std::string &router, absl::Time now)
+{
+    for (auto item = m_tickets.begin(); item != m_tickets.end();) {
+        const auto current = item++;
+        if (current->second.router != router)
+            continue;
+        const auto target = m_targets.find(current->second.target);
+        if (target != m_targets.end())
+            target->second.doubtUntil = now + m_options.doubtDuration;
+        settle(current, current->second.running ? current->second.charged : 0.0);
+    }
+}
+
+void shard_scheduler::updateBacklog(const std::set<std::string> &workspaces)
+{
+    for (const std::string &workspace : workspaces) {
+        if (!m_shares.contains(workspace))
+            continue;
+        const double liftBefore = m_order.lift(workspace);
+        m_order.setBacklogged(workspace, m_demand.isWaiting(workspace));
+        if (m_order.lift(workspace) > liftBefore)
+            m_ledger.touch(workspace);
+    }
+}
+
+void shard_scheduler::recountPending(const std::string &router)
+{
+    const std::int64_t seen = m_routers[router].highestTicket;
+    for (const auto &[key, ticket] : m_tickets) {
+        const bool unseen = key.first == m_options.epoch && key.second > seen;
+        if (ticket.router == router && unseen)
+            m_demand.addPending(ticket.workspace, router, 1);
+    }
+}
+
+void shard_scheduler::occupy(const std::string &target, int count)
+{
+    const auto found = m_targets.find(target);
+    if (found != m_targets.end())
+        found->second.inUse += count;
+}
+
+void shard_scheduler::settle(ticket_map::iterator ticket, double finalCharge)
+{
+    const ticket_state &state = ticket->second;
+    chargeWorkspace(state.workspace, finalCharge - state.charged);
+    occupy(state.target, -1);
+    m_tickets.erase(ticket);
+}
+
+void shard_scheduler::chargeWorkspace(const std::string &workspace, double amount)
+{
+    if (amount == 0.0 || !m_shares.contains(workspace))
+        return;
+    m_order.charge(workspace, amount);
+    m_ledger.touch(workspace);
+}
+
+double shard_scheduler::estimate(const cost_features &features, double units) const
+{
+    if (m_options.service.unit == service_unit::AnsweredRequests)
+        return weightOf(features.requestKind);
+    return m_estimator.estimate(features, units);
+}
+
+double shard_scheduler::finalCharge(const protocol::ticket_outcome &outcome) const
+{
+    const bool ran = outcome.ending != protocol::ticket_end::ReturnedUnused
+        && outcome.ending != protocol::ticket_end::RefusedUnrun;
+    if (m_options.service.unit == service_unit::Tokens)
+        return ran ? outcome.units : 0.0;
+    const bool whole = outcome.ending == protocol::ticket_end::AnsweredWhole;
+    return whole ? weightOf(outcome.requestKind) : 0.0;
+}
+
+double shard_scheduler::weightOf(const std::string &requestKind) const
+{
+    for (const request_kind &kind : m_options.service.requestKinds) {
+        if (kind.name == requestKind)
+            return kind.weight;
+    }
+    return 1.0;
+}
+
+bool shard_scheduler::isComplete(absl::Time now) const
+{
+    const bool hasPredecessor = m_options.epoch > 1;
+    if (!hasPredecessor || now - m_options.since > m_options.routerTimeout)
+        return true;
+    return std::all_of(m_expectedRouters.begin(), m_expectedRouters.end(),
+                       [this](const std::string &router) {
+                           const auto found = m_routers.find(router);
+                           return found != m_routers.end() && found->second.complete;
+                       });
+}
+
+int shard_scheduler::freeSlots(const target_state &target, ownership_certainty certainty,
+                               absl::Time now) const
+{
+    int limit = target.admission.limit(now);
+    if (target.admission.isCold(now)) {
+        const int half = limit / 2;
+        if (certainty == ownership_certainty::InDoubt)
+            limit = half;
+        if (certainty == ownership_certainty::Succeeding)
+            limit -= half;
+    }
+    const bool doubtful = now < target.doubtUntil || !isComplete(now);
+    if (!doubtful)
+        return limit - target.inUse;
+    const int reported = target.admission.reportedRunning(now);
+    const int assumed = reported < 0 ? limit : reported;
+    return limit - std::max(target.inUse, assumed);
+}
+
+std::string shard_scheduler::freestTarget(ownership_certainty certainty, absl::Time now) const
+{
+    std::string best;
+    int mostFree = 0;
+    for (const auto &[name, target] : m_targets) {
+        const int free = freeSlots(target, certainty, now);
+        if (free <= mostFree)
+            continue;
+        mostFree = free;
+        best = name;
+    }
+    return best;
+}
+
+addressed_grant shard_scheduler::issue(const std::string &workspace, const std::string &target,
+                                       absl::Time /*now*/)
+{
+    const std::optional<std::string> router = m_demand.routerToServe(workspace);
+    QUETZAL_PRECONDITION(router.has_value());
+    const router_demand demand = *m_demand.find(workspace, *router);
+    const cost_features features = featuresOf(workspace, demand.headKind, demand.headHint);
+    const double charged = estimate(features, 0.0);
+    const std::int64_t ticket = ++m_lastTicket;
+    m_tickets[{m_options.epoch, ticket}] = {.router = *router,
+                                            .workspace = workspace,
+                                            .target = target,
+                                            .requestKind = demand.headKind,
+                                            .hint = demand.headHint,
+                                            .charged = charged};
+    occupy(target, 1);
+    chargeWorkspace(workspace, charged);
+    m_demand.addPending(workspace, *router, 1);
+
+    addressed_grant result {.router = *router, .content = {}};
+    result.content.shard = m_options.shard;
+    result.content.epoch = m_options.epoch;
+    result.content.ticket = ticket;
+    result.content.target = target;
+    result.content.address = m_targets.at(target).admission.listing().address;
+    result.content.serviceName = m_options.service.name;
+    result.content.workspace = workspace;
+    result.content.reportSequence = m_routers[*router].sequence;
+    result.content.lifetimeMillis
+        = static_cast<std::int32_t>(absl::ToInt64Milliseconds(m_options.grantLifetime));
+    return result;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/scheduling/shard/shard_scheduler.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "configuration/document/configuration_document.h"
+#include "fairness/fairness.h"
+#include "ownership/shards/shard_ownership.h"
+#include "protocol/messages/message.h"
+#include "scheduling/shard/demand_table.h"
+#include "targets/admission/target_admission.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace quetzal {
+
+/** Options of shard_scheduler. */
+struct shard_scheduler_options
+{
+    std::string shard;
+    std::string dataCentre;
+    std::int64_t epoch = 0;
+    service_definition service;
+    /** When this scheduler took the shard over. */
+    absl::Time since;
+    /** How long after its report a router may use a grant. */
+    absl::Duration grantLifetime = absl::Seconds(2);
+    /** A router that is silent for this long has its tickets released. */
+    absl::Duration routerTimeout = absl::Seconds(3);
+    /** How long a target's own count is trusted over the tickets after a doubtful release. */
+    absl::Duration doubtDuration = absl::Seconds(10);
+};
+
+/** A grant and the router's VM that gets it. */
+struct addressed_grant
+{
+    std::string router;
+    protocol::grant content;
+
+    bool operator==(const addressed_grant &) const = default;
+};
+
+/** State of one target for the status page. */
+struct target_status
+{
+    std::string target;
+    target_phase phase = target_phase::Unknown;
+    int limit = 0;
+    int inUse = 0;
+
+    bool operator==(const target_status &) const = default;
+};
+
+/** State of one workspace at a shard for the status page. */
+struct workspace_status
+{
+    std::string workspace;
+    double share = 1.0;
+    double virtualTime = 0.0;
+    double charged = 0.0;
+    bool backlogged = false;
+
+    bool operator==(const workspace_status &) const = default;
+};
+
+/**
+ * Grants the capacity of one shard's targets in fair order.
+ *
+ * The owner of the shard's present epoch runs one such object. A ticket occupies a slot of its
+ * target from the grant until the router reports its end, or reports a higher ticket without
+ * listing this one, or is silent for too long. A grant names the report that asked for it and
+ * lapses a fixed time after the router sent that report, so that no clocks need to agree.
+ */
+class shard_scheduler
+{
+public:
+    shard_scheduler(shard_scheduler_options options, const configuration_document &document);
+
+    /** A new configuration is in force. */
+    void setConfiguration(const configuration_document &document);
+    /** The targets of this shard by the VM list. */
+    void setTargets(const std::vector<target_listing> &listings, absl::Time now);
+    /** The routers of the fleet by the VM list. */
+    void setRouters(const std::set<std::string> &routers);
+    void onLoad(const std::string &target, const target_load &load, absl::Time now);
+    /** A router's report; older sequences of the same incarnation are ignored. */
+    void onReport(const protocol::router_report &report, absl::Time now);
+    /** Releases what silent routers held. */
+    void advance(absl::Time now);
+    /** Grants free slots to waiting requests in fair order. */
+    std::vector<addressed_grant> grant(ownership_certainty certainty, absl::Time now);
+
+    /** Ledger changes to send, each with the VM of its home. */
+    std::vector<std::pair<std::string, ledger_change>>
+    collectLedger(const std::function<std::string(const std::string &workspace)> &homeOf);
+    void onLedgerAnswer(const std::string &home, const ledger_answer &answer);
+    /** Homes may have moved after a change of the members. */
+    void onHomesMoved();
+
+    /** True when a router knows a higher epoch: this scheduler no longer owns the shard. */
+    bool isSuperseded() const { return m_superseded; }
+    const shard_scheduler_options &options() const { return m_options; }
+    std::vector<target_status> targetStatus(absl::Time now) const;
+    std::vector<workspace_status> workspaceStatus() const;
+
+private:
+    struct ticket_state
+    {
+        std::string router;
+        std::string workspace;
+        std::string target;
+        std::string requestKind;
+        double hint = 0.0;
+        double charged = 0.0;
+        bool running = false;
+    };
+    struct router_state
+    {
+        std::int64_t incarnation = 0;
+        std::int64_t sequence = 0;
+        absl::Time heard;
+        /** Highest ticket of this epoch that the router has reported. */
+        std::int64_t highestTicket = 0;
+        /** True when the router has reported its usage of this shard in this epoch. */
+        bool complete = false;
+    };
+    struct target_state
+    {
+        target_admission admission;
+        int inUse = 0;
+        absl::Time doubtUntil = absl::InfinitePast();
+    };
+    using ticket_key = std::pair<std::int64_t, std::int64_t>;
+    using ticket_map = std::map<ticket_key, ticket_state>;
+
+    target_admission_options admissionOptions() const;
+    void takeUsage(const protocol::router_report &report, const protocol::shard_usage &usage,
+                   absl::Time now);
+    void takeRunning(const std::string &router, const protocol::running_ticket &running);
+    void takeOutcome(const protocol::ticket_outcome &outcome, absl::Time now);
+    void releaseUnlisted(const std::string &router, const protocol::shard_usage &usage,
+                         absl::Time now);
+    void releaseAll(const std::string &router, absl::Time now);
+    void updateBacklog(const std::set<std::string> &workspaces);
+    void recountPending(const std::string &router);
+    void occupy(const std::string &target, int count);
+    void settle(ticket_map::iterator ticket, double finalCharge);
+    void chargeWorkspace(const std::string &workspace, double amount);
+    double estimate(const cost_features &features, double units) const;
+    double finalCharge(const protocol::ticket_outcome &outcome) const;
+    double weightOf(const std::string &requestKind) const;
+    bool isComplete(absl::Time now) const;
+    int freeSlots(const target_state &target, ownership_certainty certainty, absl::Time now) const;
+    std::string freestTarget(ownership_certainty certainty, absl::Time now) const;
+    addressed_grant issue(const std::string &workspace, const std::string &target, absl::Time now);
+
+    shard_scheduler_options m_options;
+    fair_order m_order;
+    cost_estimator m_estimator;
+    ledger_writer m_ledger;
+    demand_table m_demand;
+    std::map<std::string, target_state> m_targets;
+    std::map<std::string, router_state> m_routers;
+    std::set<std::string> m_expectedRouters;
+    std::map<std::string, double> m_shares;
+    std::set<std::string> m_excludedWorkspaces;
+    ticket_map m_tickets;
+    std::int64_t m_lastTicket = 0;
+    bool m_dataCentreIn = false;
+    bool m_superseded = false;
+};
+
+} // namespace quetzal
