--- a/modules/transport/link/message_network.h
+++ b/modules/transport/link/message_network.h
@@ -2,6 +2,9 @@
 
 #include "protocol/messages/message.h"
 
+#include <absl/time/time.h>
+
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -31,6 +34,14 @@
     endpoint listen;
     /** Called on a network thread for each message; must return quickly. */
     std::function<void(const node_id &from, const message &content)> onMessage;
+    /** A connection on which nothing arrives for this long is closed. */
+    absl::Duration silenceLimit = absl::Seconds(3);
+    /** Longest time that opening a connection may take. */
+    absl::Duration connectTimeout = absl::Seconds(1);
+    /** Bytes that may wait for one peer; beyond them the oldest messages are dropped. */
+    std::size_t mostWaitingBytes = std::size_t {256} * 1024;
+    /** Connections open at once; further ones are closed on acceptance. */
+    std::size_t mostConnections = 1024;
 };
 
 /** Counts of everything sent and received, frames and framing included. */
@@ -40,6 +51,13 @@
     std::uint64_t bytesSent = 0;
     std::uint64_t messagesReceived = 0;
     std::uint64_t bytesReceived = 0;
+    /** Messages dropped because the peer was unreachable or took too few. */
+    std::uint64_t messagesDropped = 0;
+    std::uint64_t connectionsOpened = 0;
+    /** Connections closed because nothing arrived for the silence limit. */
+    std::uint64_t connectionsSilent = 0;
+    /** Connections closed because of a frame that is too long or not a message. */
+    std::uint64_t connectionsMalformed = 0;
 
     bool operator==(const network_counts &) const = default;
 };
@@ -50,8 +68,11 @@
  * A frame is a 4-byte big-endian length and the encoded message; the first frame of a connection
  * names the sender. Schedulers listen; a router connects to schedulers and gets its answers on the
  * same connection. Sending never blocks: messages to an unreachable peer are dropped, because
- * every message describes state and is repeated. A connection that is silent for longer than the
- * limit is closed and opened anew.
+ * every message describes state and is repeated. A process that receives messages answers with an
+ * empty frame when it has sent nothing else for a third of the silence limit; a connection on which
+ * nothing arrives for the whole limit is closed, and opened anew when there is a message to send.
+ * An unreachable peer is tried again after a pause that doubles up to a second. When both ends
+ * have opened a connection, both send on the one opened by the lower node_id.
  */
 class message_network
 {
--- /dev/null
+++ b/modules/transport/link/outbox.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <cstddef>
+#include <deque>
+#include <string>
+
+namespace quetzal {
+
+/**
+ * Frames that wait to be written to one peer.
+ *
+ * When the limit is exceeded the oldest frames are dropped; the newest always stays, so that one
+ * frame may be larger than the limit.
+ */
+class outbox
+{
+public:
+    explicit outbox(std::size_t mostBytes)
+        : m_mostBytes(mostBytes)
+    {
+    }
+
+    /** Adds a frame and drops the oldest ones beyond the limit; returns how many were dropped. */
+    std::size_t push(std::string frame);
+    /** Takes the oldest frame; the outbox must not be empty. */
+    std::string pop();
+    /** Drops every frame; returns how many there were. */
+    std::size_t clear();
+
+    bool empty() const { return m_frames.empty(); }
+    std::size_t bytes() const { return m_bytes; }
+
+private:
+    std::deque<std::string> m_frames;
+    std::size_t m_bytes = 0;
+    std::size_t m_mostBytes;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/transport/store/store_client.cpp
@@ -0,0 +1,240 @@
+#include "transport/store/store_client.h"
+
+#include "transport/http/http_call.h"
+#include "transport/store/store_codec.h"
+
+#include <absl/synchronization/mutex.h>
+#include <absl/time/time.h>
+
+#include <thread>
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+constexpr int statusOk = 200;
+constexpr const char *jsonType = "application/json";
+/** A watch that brings nothing for this long is opened anew at the next revision. */
+constexpr auto watchSilenceLimit = std::chrono::milliseconds(1500);
+constexpr absl::Duration pauseAfterFailure = absl::Milliseconds(500);
+constexpr std::size_t mostLineBytes = std::size_t {16} * 1024 * 1024;
+
+} // namespace
+
+class store_client::implementation
+{
+public:
+    explicit implementation(store_client_options options)
+        : m_options(std::move(options))
+    {
+    }
+    ~implementation();
+    implementation(const implementation &) = delete;
+    implementation &operator=(const implementation &) = delete;
+
+    store_reply perform(const store_request &request) const;
+    std::optional<store_view> read() const;
+    void watch(std::function<void(const store_view &)> onView, std::function<void()> onDown);
+
+private:
+    /** How a watch stream ended. */
+    enum class stream_end
+    {
+        /** The stream was open and brought nothing for a while. */
+        Silent,
+        /** The store ended the watch. */
+        Ended,
+        /** The stream never opened. */
+        Failed,
+    };
+
+    std::optional<std::string> call(const gateway_call &gatewayCall) const;
+    void run();
+    void watchFrom(store_view &view);
+    stream_end stream(store_view &view);
+    bool takeLines(std::string &pending, store_view &view, bool &opened);
+    bool isStopping() const;
+    void pause();
+    void noteDown();
+
+    const store_client_options m_options;
+    std::function<void(const store_view &)> m_onView;
+    std::function<void()> m_onDown;
+    bool m_down = false;
+
+    mutable absl::Mutex m_mutex;
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    std::shared_ptr<httplib::Client> m_streaming ABSL_GUARDED_BY(m_mutex);
+    std::thread m_thread;
+};
+
+store_client::implementation::~implementation()
+{
+    std::shared_ptr<httplib::Client> streaming;
+    {
+        const absl::MutexLock lock(&m_mutex);
+        m_stopping = true;
+        streaming = m_streaming;
+    }
+    if (streaming != nullptr)
+        streaming->stop();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+store_reply store_client::implementation::perform(const store_request &request) const
+{
+    const gateway_call gatewayCall = encodeStoreRequest(request);
+    const auto client = makeCallClient(m_options.address);
+    const httplib::Result result = client->Post(gatewayCall.path, gatewayCall.body, jsonType);
+    if (!result)
+        return decodeStoreReply(request, 0, {});
+    return decodeStoreReply(request, result->status, result->body);
+}
+
+std::optional<store_view> store_client::implementation::read() const
+{
+    const std::optional<std::string> body = call(encodeRangeCall(m_options.keyPrefix));
+    return body.has_value() ? decodeRange(*body) : std::nullopt;
+}
+
+std::optional<std::string> store_client::implementation::call(const gateway_call &gatewayCall) const
+{
+    const auto client = makeCallClient(m_options.address);
+    const httplib::Result result = client->Post(gatewayCall.path, gatewayCall.body, jsonType);
+    if (!result || result->status != statusOk)
+        return std::nullopt;
+    return result->body;
+}
+
+void store_client::implementation::watch(std::function<void(const store_view &)> onView,
+                                         std::function<void()> onDown)
+{
+    m_onView = std::move(onView);
+    m_onDown = std::move(onDown);
+    m_thread = std::thread([this] { run(); });
+}
+
+void store_client::implementation::run()
+{
+    while (!isStopping()) {
+        std::optional<store_view> view = read();
+        if (!view.has_value()) {
+            noteDown();
+            pause();
+            continue;
+        }
+        m_down = false;
+        m_onView(*view);
+        watchFrom(*view);
+    }
+}
+
+void store_client::implementation::watchFrom(store_view &view)
+{
+    while (!isStopping()) {
+        const stream_end end = stream(view);
+        if (end == stream_end::Silent)
+            continue;
+        pause();
+        return;
+    }
+}
+
+store_client::implementation::stream_end store_client::implementation::stream(store_view &view)
+{
+    const std::shared_ptr<httplib::Client> client = makeCallClient(m_options.address);
+    client->set_read_timeout(watchSilenceLimit);
+    {
+        const absl::MutexLock lock(&m_mutex);
+        if (m_stopping)
+            return stream_end::Ended;
+        m_streaming = client;
+    }
+    const gateway_call gatewayCall = encodeWatchCall(m_options.keyPrefix, view.revision + 1);
+    std::string pending;
+    bool opened = false;
+    bool understood = true;
+    httplib::Request request;
+    request.method = "POST";
+    request.path = gatewayCall.path;
+    request.body = gatewayCall.body;
+    request.set_header("Content-Type", jsonType);
+    request.response_handler = [](const httplib::Response &answer) {
+        return answer.status == statusOk;
+    };
+    request.content_receiver = [&](const char *data, std::size_t size, std::uint64_t /*offset*/,
+                                   std::uint64_t /*total*/) {
+        pending.append(data, size);
+        understood = takeLines(pending, view, opened);
+        return understood;
+    };
+    const httplib::Result result = client->send(request);
+    const absl::MutexLock lock(&m_mutex);
+    m_streaming.reset();
+    if (!understood || result)
+        return stream_end::Ended;
+    return opened ? stream_end::Silent : stream_end::Failed;
+}
+
+bool store_client::implementation::takeLines(std::string &pending, store_view &view, bool &opened)
+{
+    std::size_t end = pending.find('\n');
+    while (end != std::string::npos) {
+        const watch_line line = applyWatchLine(pending.substr(0, end), view);
+        pending.erase(0, end + 1);
+        if (line == watch_line::Ended)
+            return false;
+        opened = true;
+        if (line == watch_line::Changed)
+            m_onView(view);
+        end = pending.find('\n');
+    }
+    return pending.size() <= mostLineBytes;
+}
+
+bool store_client::implementation::isStopping() const
+{
+    const absl::MutexLock lock(&m_mutex);
+    return m_stopping;
+}
+
+void store_client::implementation::pause()
+{
+    const absl::MutexLock lock(&m_mutex);
+    m_mutex.AwaitWithTimeout(absl::Condition(&m_stopping), pauseAfterFailure);
+}
+
+void store_client::implementation::noteDown()
+{
+    if (m_down)
+        return;
+    m_down = true;
+    m_onDown();
+}
+
+store_client::store_client(store_client_options options)
+    : m_implementation(std::make_unique<implementation>(std::move(options)))
+{
+}
+
+store_client::~store_client() = default;
+
+store_reply store_client::perform(const store_request &request)
+{
+    return m_implementation->perform(request);
+}
+
+std::optional<store_view> store_client::read()
+{
+    return m_implementation->read();
+}
+
+void store_client::watch(std::function<void(const store_view &)> onView,
+                         std::function<void()> onDown)
+{
+    m_implementation->watch(std::move(onView), std::move(onDown));
+}
+
+} // namespace quetzal
