Configuration revisions: head, chunks, follower and editor

A change is written as content-addressed chunks and then a head by compare-and-swap; the head names its write and earlier ones, so that a writer whose answer was lost can find out. Every write holds only while the head is the one that was read, so a late write of a lost request changes nothing.

--- /dev/null
+++ b/modules/configuration/revision/configuration_editor.cpp
@@ -0,0 +1,218 @@
+#include "configuration/revision/configuration_editor.h"
+
+#include "foundation/errors/precondition.h"
+#include "foundation/hashing/stable_hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+/** Stores bound the operations of one transaction; etcd's default is 128. */
+constexpr std::size_t mostDeletesPerWrite = 100;
+
+/** The head in a view; absent when there is none, and malformed set when it cannot be read. */
+struct head_reading
+{
+    std::optional<configuration_head> head;
+    std::int64_t modRevision = 0;
+    bool malformed = false;
+};
+
+head_reading findHead(const configuration_keys &keys, const store_view &view)
+{
+    const auto record = view.records.find(keys.head());
+    if (record == view.records.end())
+        return {};
+    head_reading result {readHead(record->second.value), record->second.modRevision};
+    result.malformed = !result.head.has_value();
+    return result;
+}
+
+/** The write that made a revision, as far as the head still names it. */
+std::optional<std::string> writeIdOf(const configuration_head &head, std::int64_t revision)
+{
+    if (head.revision == revision)
+        return head.writeId;
+    for (const revision_write &write : head.earlierWrites) {
+        if (write.revision == revision)
+            return write.writeId;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+configuration_editor::configuration_editor(configuration_editor_options options)
+    : m_options(std::move(options))
+    , m_keys {m_options.keyPrefix}
+    , m_chunks(splitIntoChunks(m_options.text))
+{
+    QUETZAL_PRECONDITION(!m_options.writeId.empty());
+}
+
+editor_step configuration_editor::nextStep() const
+{
+    switch (m_phase) {
+    case phase::ReadingBase:
+    case phase::ReadingBack:
+    case phase::ReadingWinner:
+        return store_read {};
+    case phase::WritingChunks:
+        return chunkWrite();
+    case phase::WritingHead:
+        return headWrite();
+    case phase::Finished:
+        break;
+    }
+    return m_result;
+}
+
+void configuration_editor::onView(const std::optional<store_view> &view)
+{
+    if (m_phase == phase::ReadingBase) {
+        if (!view)
+            return noteUnanswered(result_code::StoreUnavailable);
+        onBaseView(*view);
+    } else if (m_phase == phase::ReadingBack) {
+        if (!view)
+            return noteUnanswered(result_code::StoreOutcomeUnknown);
+        onReadBack(*view);
+    } else if (m_phase == phase::ReadingWinner) {
+        if (!view)
+            return noteUnanswered(result_code::RevisionConflict);
+        onWinnerView(*view);
+    }
+}
+
+void configuration_editor::onReply(const store_reply &reply)
+{
+    if (m_phase == phase::WritingChunks) {
+        if (reply.outcome == store_outcome::Unknown)
+            return noteUnanswered(result_code::StoreUnavailable);
+        m_unanswered = 0;
+        if (reply.outcome == store_outcome::Refused) {
+            m_phase = phase::ReadingWinner;
+            return;
+        }
+        m_missing.pop_back();
+        if (m_missing.empty())
+            m_phase = phase::WritingHead;
+    } else if (m_phase == phase::WritingHead) {
+        if (reply.outcome == store_outcome::Done)
+            return finish(result_code::Ok, m_head.revision, m_head.digest);
+        if (reply.outcome == store_outcome::Unknown) {
+            m_headInDoubt = true;
+            m_phase = phase::ReadingBack;
+            return noteUnanswered(result_code::StoreOutcomeUnknown);
+        }
+        m_phase = m_headInDoubt ? phase::ReadingBack : phase::ReadingWinner;
+    }
+}
+
+void configuration_editor::finish(result_code code, std::int64_t revision, std::string digest)
+{
+    m_phase = phase::Finished;
+    m_result = {code, revision, std::move(digest)};
+}
+
+void configuration_editor::noteUnanswered(result_code code)
+{
+    ++m_unanswered;
+    if (m_unanswered >= m_options.mostUnanswered)
+        finish(code);
+}
+
+void configuration_editor::onBaseView(const store_view &view)
+{
+    m_unanswered = 0;
+    const head_reading reading = findHead(m_keys, view);
+    if (reading.malformed)
+        return finish(result_code::StoredDocumentDamaged);
+    const std::int64_t revision = reading.head ? reading.head->revision : 0;
+    if (revision != m_options.baseRevision)
+        return finish(result_code::RevisionConflict, revision,
+                      reading.head ? reading.head->digest : std::string());
+    m_baseModRevision = reading.modRevision;
+    prepareHead(reading.head, view);
+    m_phase = m_missing.empty() ? phase::WritingHead : phase::WritingChunks;
+}
+
+void configuration_editor::onReadBack(const store_view &view)
+{
+    const head_reading reading = findHead(m_keys, view);
+    if (reading.malformed)
+        return finish(result_code::StoreOutcomeUnknown);
+    if (reading.modRevision == m_baseModRevision) {
+        m_phase = phase::WritingHead;
+        return;
+    }
+    if (!reading.head)
+        return finish(result_code::StoreOutcomeUnknown);
+    const std::optional<std::string> writeId = writeIdOf(*reading.head, m_head.revision);
+    if (!writeId)
+        return finish(result_code::StoreOutcomeUnknown, reading.head->revision,
+                      reading.head->digest);
+    if (*writeId == m_options.writeId)
+        return finish(result_code::Ok, m_head.revision, m_head.digest);
+    finish(result_code::RevisionConflict, reading.head->revision, reading.head->digest);
+}
+
+void configuration_editor::onWinnerView(const store_view &view)
+{
+    const head_reading reading = findHead(m_keys, view);
+    if (!reading.head)
+        return finish(result_code::RevisionConflict);
+    finish(result_code::RevisionConflict, reading.head->revision, reading.head->digest);
+}
+
+void configuration_editor::prepareHead(const std::optional<configuration_head> &base,
+                                       const store_view &view)
+{
+    m_head = {.revision = m_options.baseRevision + 1,
+              .digest = sha256Hex(m_options.text),
+              .writeId = m_options.writeId};
+    std::set<std::string> used;
+    for (const document_chunk &chunk : m_chunks) {
+        m_head.chunks.push_back(chunk.digest);
+        const bool isNew = used.insert(m_keys.chunk(chunk.digest)).second;
+        if (isNew && !view.records.contains(m_keys.chunk(chunk.digest)))
+            m_missing.push_back(chunk);
+    }
+    if (base) {
+        m_head.earlierWrites = base->earlierWrites;
+        m_head.earlierWrites.insert(m_head.earlierWrites.begin(), {base->revision, base->writeId});
+        if (m_head.earlierWrites.size() > mostEarlierWrites)
+            m_head.earlierWrites.resize(mostEarlierWrites);
+        for (const std::string &digest : base->chunks)
+            used.insert(m_keys.chunk(digest));
+    }
+    const std::string prefix = m_keys.chunkPrefix();
+    for (auto record = view.records.lower_bound(prefix); record != view.records.end(); ++record) {
+        if (!record->first.starts_with(prefix) || m_unusedChunks.size() == mostDeletesPerWrite)
+            break;
+        if (!used.contains(record->first))
+            m_unusedChunks.push_back(record->first);
+    }
+}
+
+store_transaction configuration_editor::chunkWrite() const
+{
+    const document_chunk &chunk = m_missing.back();
+    return {.requestId = 0,
+            .compares = {{m_keys.head(), m_baseModRevision}},
+            .puts = {{m_keys.chunk(chunk.digest), chunk.text}},
+            .deletes = {}};
+}
+
+store_transaction configuration_editor::headWrite() const
+{
+    return {.requestId = 0,
+            .compares = {{m_keys.head(), m_baseModRevision}},
+            .puts = {{m_keys.head(), toJson(m_head)}},
+            .deletes = m_unusedChunks};
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/configuration/revision/configuration_follower.cpp
@@ -0,0 +1,60 @@
+#include "configuration/revision/configuration_follower.h"
+
+#include "configuration/document/document_reader.h"
+#include "foundation/hashing/stable_hash.h"
+
+#include <utility>
+
+namespace quetzal {
+
+configuration_follower::configuration_follower(configuration_follower_options options)
+    : m_keys {std::move(options.keyPrefix)}
+{
+}
+
+follower_verdict configuration_follower::onStoreView(const store_view &view)
+{
+    const auto record = view.records.find(m_keys.head());
+    if (record == view.records.end())
+        return follower_verdict::HeadAbsent;
+    const std::optional<configuration_head> head = readHead(record->second.value);
+    if (!head)
+        return follower_verdict::HeadMalformed;
+    if (head->revision <= revision())
+        return follower_verdict::NotHigher;
+    const std::optional<std::string> text = joinChunks(*head, m_keys, view);
+    if (!text)
+        return follower_verdict::ChunkMissing;
+    return onDocument(head->revision, head->digest, *text);
+}
+
+follower_verdict configuration_follower::onDocument(std::int64_t revision,
+                                                    const std::string &digest,
+                                                    const std::string &text)
+{
+    if (revision <= this->revision())
+        return follower_verdict::NotHigher;
+    if (sha256Hex(text) != digest)
+        return follower_verdict::DigestWrong;
+    document_reading reading = readDocument(text);
+    if (!reading.document)
+        return follower_verdict::DocumentInvalid;
+    m_current = std::make_shared<const configuration_snapshot>(
+        makeSnapshot(revision, digest, text, std::move(*reading.document)));
+    return follower_verdict::Adopted;
+}
+
+std::optional<std::string> joinChunks(const configuration_head &head,
+                                      const configuration_keys &keys, const store_view &view)
+{
+    std::string text;
+    for (const std::string &digest : head.chunks) {
+        const auto chunk = view.records.find(keys.chunk(digest));
+        if (chunk == view.records.end())
+            return std::nullopt;
+        text += chunk->second.value;
+    }
+    return text;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/configuration/revision/document_chunks.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quetzal {
+
+/** One part of a canonical document, named by its SHA-256 digest. */
+struct document_chunk
+{
+    std::string digest;
+    std::string text;
+
+    bool operator==(const document_chunk &) const = default;
+};
+
+/** Most bytes of one chunk. */
+constexpr std::size_t largestChunkBytes = 256 * 1024;
+
+/**
+ * Splits a canonical document into chunks of at most largestChunkBytes.
+ *
+ * The boundaries depend on the content near them (a gear hash), so that a change of one workspace
+ * alters one or two chunks and leaves the others as they were.
+ */
+std::vector<document_chunk> splitIntoChunks(std::string_view text);
+
+} // namespace quetzal
--- a/modules/foundation/errors/result_code.h
+++ b/modules/foundation/errors/result_code.h
@@ -48,6 +48,7 @@
     RoleInsufficient = 4006,
     NotFound = 4007,
     RevisionNotInForce = 4008,
+    StoredDocumentDamaged = 4009,
 
     SettingsInvalid = 5001,
     AddressInUse = 5002,
