--- a/modules/targets/admission/target_admission.h
+++ b/modules/targets/admission/target_admission.h
@@ -2,6 +2,7 @@
 
 #include <absl/time/time.h>
 
+#include <deque>
 #include <string>
 
 namespace quetzal {
@@ -45,6 +46,21 @@
     Silent,
 };
 
+/** The end of one request, with what is known of its circumstances. */
+struct target_observation
+{
+    target_evidence evidence = target_evidence::Answered;
+    /** Instance that the target named; empty when it named none. */
+    std::string instance;
+    /** When the request was granted; an answer to a request older than the last fall is no proof.
+     */
+    absl::Time startedAt = absl::InfiniteFuture();
+    /** Requests running at the target just before this one ended; -1 when unknown. */
+    int running = -1;
+
+    bool operator==(const target_observation &) const = default;
+};
+
 /** The states of a target. */
 enum class target_phase
 {
@@ -59,6 +75,15 @@
     Unreachable,
 };
 
+/** How the limit grows in slow start. */
+enum class growth_rule
+{
+    /** Doubles after as many good answers as the limit. */
+    Doubling,
+    /** Grows by one after answersPerStep good answers. */
+    Stepwise,
+};
+
 /** Options of target_admission. */
 struct target_admission_options
 {
@@ -66,17 +91,28 @@
     int warmLimit = 8;
     /** Most concurrent requests just after the start. */
     int coldLimit = 1;
-    /** Good answers at the present limit that raise it by one step. */
+    /** Good answers at the present limit that raise it by one step; used by Stepwise only. */
     int answersPerStep = 2;
     /** Pause before the next trial request to an unreachable target. */
     absl::Duration trialPause = absl::Seconds(1);
+    growth_rule growth = growth_rule::Doubling;
+    /** Consecutive silent requests that make a target unreachable. */
+    int silentRequests = 2;
+    /** Longest lag of a load report. */
+    absl::Duration reportLag = absl::Seconds(5);
+    /** Longest lag of the VM list. */
+    absl::Duration listLag = absl::Seconds(15);
 };
 
 /**
  * Decides how many concurrent requests one target may have.
  *
- * Starts at coldLimit; grows only while answers come back well; falls to coldLimit at once on a
- * changed instance, a refused or reset connection, or a load report of a fresh start.
+ * Starts at coldLimit; grows only while answers come back well and the limit was in use; falls to
+ * coldLimit at once on a changed instance, a refused or reset connection, or a load report of a
+ * fresh start or of coldness. Load reports never raise the limit, and reports and answers of an
+ * instance that was replaced are ignored. Leaving holds from its first sign (listing, own report,
+ * refusal) until a later sign of the same source, a new instance, or a listing newer than the lag
+ * of the list says otherwise.
  */
 class target_admission
 {
@@ -91,6 +127,8 @@
     void observeLoad(const target_load &load, absl::Time now);
     /** A request ended; instance is empty when the target did not name one. */
     void observeEvidence(target_evidence evidence, const std::string &instance, absl::Time now);
+    /** A request ended, with its start and the load that it met. */
+    void observe(const target_observation &observation, absl::Time now);
     /** Limits changed by a new configuration. */
     void setLimits(int coldLimit, int warmLimit);
 
@@ -104,13 +142,43 @@
     const target_listing &listing() const { return m_listing; }
 
 private:
+    bool isLeaving() const;
+    bool isRetired(const std::string &instance) const;
+    bool isOfPresentInstance(const target_observation &observation, absl::Time now);
+    bool isOfPresentInstance(const target_load &load, absl::Time now);
+    bool startedLater(const target_load &load, absl::Time now) const;
+    bool mayHaveReplaced(const target_load &load, absl::Time now) const;
+    bool hasReturned(const target_load &load, absl::Time now) const;
+    void startInstance(const std::string &instance, absl::Time now);
+    void fallToCold(absl::Time now);
+    void observeAnswer(const target_observation &observation);
+    void observeReset(const target_observation &observation, absl::Time now);
+    void observeOverload(const target_observation &observation, absl::Time now);
+    void grow();
+
     target_listing m_listing;
     target_admission_options m_options;
     int m_limit;
     int m_goodAnswers = 0;
-    std::string m_instance;
-    bool m_reportedLeaving = false;
+    int m_silentInARow = 0;
+    bool m_answered = false;
     bool m_unlisted = false;
+    bool m_reportedLeaving = false;
+    bool m_reportedCold = false;
+    int m_running = -1;
+    std::string m_instance;
+    std::deque<std::string> m_retired;
+    /** Earliest start of the present instance by its reports. */
+    absl::Time m_startEstimate = absl::InfiniteFuture();
+    absl::Duration m_lastUptime = -absl::InfiniteDuration();
+    absl::Time m_reportAt = absl::InfinitePast();
+    absl::Time m_instanceSince = absl::InfinitePast();
+    /** Last fall of the limit, and last one within the present instance. */
+    absl::Time m_fallenAt = absl::InfinitePast();
+    absl::Time m_suspectedAt = absl::InfinitePast();
+    absl::Time m_reducedAt = absl::InfinitePast();
+    /** When a refusal said that the target is leaving. */
+    absl::Time m_refusedLeavingAt = absl::InfiniteFuture();
     absl::Time m_unreachableSince = absl::InfiniteFuture();
 };
 
