Tests of the message network

Delivery in order, messages larger than the socket buffers, a peer that never reads, a silent peer replaced, frames that are not of the protocol, a restarted and a moved listener.

--- /dev/null
+++ b/tests/transport/message_network_test.cpp
@@ -0,0 +1,317 @@
+#include "foundation/errors/result_code.h"
+#include "protocol/messages/message_codec.h"
+#include "transport/link/frame.h"
+#include "transport_fixtures.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <poll.h>
+#include <sys/socket.h>
+#include <system_error>
+
+using namespace quetzal;
+using namespace quetzal::testing;
+
+namespace {
+
+const node_id routerId {.role = node_role::Router, .vm = "vm-1"};
+const node_id schedulerId {.role = node_role::Scheduler, .vm = "vm-2"};
+const node_id otherSchedulerId {.role = node_role::Scheduler, .vm = "vm-3"};
+constexpr absl::Duration shortSilence = absl::Milliseconds(300);
+
+socket_handle connectTo(const endpoint &address)
+{
+    socket_handle socket = beginConnect(address);
+    pollfd ready {.fd = socket.descriptor(), .events = POLLOUT, .revents = 0};
+    poll(&ready, 1, 5000);
+    REQUIRE(isConnected(socket));
+    return socket;
+}
+
+void writeAll(const socket_handle &socket, const std::string &bytes)
+{
+    REQUIRE(::send(socket.descriptor(), bytes.data(), bytes.size(), MSG_NOSIGNAL)
+            == static_cast<ssize_t>(bytes.size()));
+}
+
+/** True when the other end closes the connection. */
+bool isClosedByPeer(const socket_handle &socket)
+{
+    return waitUntil([&] {
+        std::array<char, 4096> buffer {};
+        const ssize_t count = recv(socket.descriptor(), buffer.data(), buffer.size(), 0);
+        return count == 0 || (count < 0 && errno == ECONNRESET);
+    });
+}
+
+} // namespace
+
+SCENARIO("Messages between a router and a scheduler")
+{
+    const endpoint address = freeEndpoint();
+    test_node scheduler(schedulerId, address);
+    test_node router(routerId, {});
+    scheduler.network.start();
+    router.network.start();
+    router.network.setPeers({{"vm-2", address}});
+
+    WHEN("the router sends several messages")
+    {
+        constexpr int count = 500;
+        for (int index = 0; index < count; ++index)
+            router.network.send(schedulerId, numbered(index));
+
+        THEN("they arrive once, in order and with their sender")
+        {
+            REQUIRE(waitUntil([&] { return scheduler.inbox.size() >= count; }));
+            const std::vector<message> received = scheduler.inbox.messages();
+            REQUIRE(received.size() == count);
+            for (int index = 0; index < count; ++index)
+                CHECK(received[index] == numbered(index));
+            CHECK(scheduler.inbox.senders().front() == routerId);
+            CHECK(router.network.counts().messagesSent == count);
+            CHECK(scheduler.network.counts().messagesReceived == count);
+
+            AND_THEN("answers return on the same connection")
+            {
+                scheduler.network.send(routerId, numbered(7));
+                REQUIRE(waitUntil([&] { return router.inbox.size() == 1; }));
+                CHECK(router.inbox.senders().front() == schedulerId);
+                CHECK(scheduler.network.counts().connectionsOpened == 1);
+                CHECK(router.network.counts().connectionsOpened == 1);
+            }
+        }
+    }
+    WHEN("a message is far larger than the socket buffers")
+    {
+        const message large = documentOf(3 * 1024 * 1024);
+        router.network.send(schedulerId, large);
+        router.network.send(schedulerId, numbered(1));
+        THEN("it arrives whole")
+        {
+            REQUIRE(waitUntil([&] { return scheduler.inbox.size() == 2; }));
+            CHECK(scheduler.inbox.messages().front() == large);
+        }
+    }
+    WHEN("a message is larger than any receiver accepts")
+    {
+        router.network.send(schedulerId, documentOf(mostMessageBytes));
+        router.network.send(schedulerId, numbered(1));
+        THEN("it is dropped by the sender and the connection goes on")
+        {
+            REQUIRE(waitUntil([&] { return scheduler.inbox.size() == 1; }));
+            CHECK(scheduler.inbox.messages().front() == numbered(1));
+            CHECK(router.network.counts().messagesDropped == 1);
+        }
+    }
+    WHEN("a scheduler sends to a router that has not connected")
+    {
+        scheduler.network.send(routerId, numbered(1));
+        THEN("the message is dropped")
+        {
+            CHECK(waitUntil([&] { return scheduler.network.counts().messagesDropped == 1; }));
+        }
+    }
+}
+
+SCENARIO("Two schedulers that connect to each other at once")
+{
+    const endpoint first = freeEndpoint();
+    const endpoint second = freeEndpoint();
+    test_node lower(schedulerId, first);
+    test_node higher(otherSchedulerId, second);
+    lower.network.start();
+    higher.network.start();
+    lower.network.setPeers({{"vm-3", second}});
+    higher.network.setPeers({{"vm-2", first}});
+
+    WHEN("both send at the same moment, for several rounds")
+    {
+        constexpr std::int64_t rounds = 50;
+        for (std::int64_t round = 0; round < rounds; ++round) {
+            lower.network.send(otherSchedulerId, numbered(round));
+            higher.network.send(schedulerId, numbered(round));
+            absl::SleepFor(absl::Milliseconds(1));
+        }
+        THEN("every message arrives at both ends")
+        {
+            CHECK(waitUntil([&] { return lower.inbox.size() == rounds; }));
+            CHECK(waitUntil([&] { return higher.inbox.size() == rounds; }));
+        }
+    }
+}
+
+SCENARIO("A peer that accepts and never reads")
+{
+    const endpoint address = freeEndpoint();
+    const socket_handle deaf = listenAt(address);
+    constexpr std::size_t mostWaiting = 64 * 1024;
+    test_node router(routerId, {}, absl::Seconds(60), mostWaiting);
+    router.network.start();
+    router.network.setPeers({{"vm-2", address}});
+
+    WHEN("far more is sent than the buffers hold")
+    {
+        constexpr int count = 400;
+        const message large = documentOf(64 * 1024);
+        router.network.send(schedulerId, numbered(1));
+        REQUIRE(waitUntil([&] { return router.network.counts().bytesSent > 0; }));
+        for (int index = 0; index < count; ++index)
+            router.network.send(schedulerId, large);
+        THEN("the oldest messages are dropped and sending never blocks")
+        {
+            CHECK(waitUntil([&] { return router.network.counts().messagesDropped > count / 2; }));
+        }
+    }
+}
+
+SCENARIO("A peer that goes silent for good")
+{
+    const endpoint address = freeEndpoint();
+    test_node router(routerId, {}, shortSilence);
+    router.network.start();
+    router.network.setPeers({{"vm-2", address}});
+
+    GIVEN("a connection that is accepted and never answered")
+    {
+        auto silent = std::make_unique<socket_handle>(listenAt(address));
+        router.network.send(schedulerId, numbered(1));
+        REQUIRE(waitUntil([&] { return router.network.counts().connectionsSilent >= 1; }));
+
+        WHEN("the scheduler listens again at the same address")
+        {
+            silent.reset();
+            test_node scheduler(schedulerId, address);
+            scheduler.network.start();
+            THEN("a new connection replaces the silent one")
+            {
+                CHECK(waitUntil([&] {
+                    router.network.send(schedulerId, numbered(2));
+                    return scheduler.inbox.size() > 0;
+                }));
+            }
+        }
+    }
+    GIVEN("a peer that receives messages and has none to send")
+    {
+        test_node scheduler(schedulerId, address, shortSilence);
+        scheduler.network.start();
+        WHEN("messages flow for several silence limits")
+        {
+            const absl::Time end = absl::Now() + 5 * shortSilence;
+            while (absl::Now() < end) {
+                router.network.send(schedulerId, numbered(1));
+                absl::SleepFor(absl::Milliseconds(10));
+            }
+            THEN("empty frames keep the connection")
+            {
+                CHECK(scheduler.inbox.size() > 0);
+                CHECK(router.network.counts().connectionsOpened == 1);
+                CHECK(router.network.counts().connectionsSilent == 0);
+            }
+        }
+    }
+}
+
+SCENARIO("Frames that are not of this protocol")
+{
+    const endpoint address = freeEndpoint();
+    test_node scheduler(schedulerId, address);
+    scheduler.network.start();
+    const socket_handle stranger = connectTo(address);
+
+    SECTION("a first frame that names no sender")
+    {
+        writeAll(stranger, encodeFrame("GET / HTTP/1.1\r\n"));
+        CHECK(isClosedByPeer(stranger));
+    }
+    SECTION("a first frame that is too long")
+    {
+        writeAll(stranger, encodeFrame(std::string(4096, 'x')));
+        CHECK(isClosedByPeer(stranger));
+    }
+    SECTION("a frame after the first that is not a message")
+    {
+        writeAll(stranger, encodeFrame(encodeHello(routerId)) + encodeFrame("\x7fnot a message"));
+        CHECK(isClosedByPeer(stranger));
+    }
+    SECTION("a frame after the first that is over the limit")
+    {
+        writeAll(stranger, encodeFrame(encodeHello(routerId)) + std::string("\xff\xff\xff\xff", 4));
+        CHECK(isClosedByPeer(stranger));
+    }
+    CHECK(waitUntil([&] { return scheduler.network.counts().connectionsMalformed == 1; }));
+    CHECK(scheduler.inbox.size() == 0);
+}
+
+SCENARIO("A frame that arrives byte by byte")
+{
+    const endpoint address = freeEndpoint();
+    test_node scheduler(schedulerId, address);
+    scheduler.network.start();
+    const socket_handle slow = connectTo(address);
+    const std::string bytes
+        = encodeFrame(encodeHello(routerId)) + encodeFrame(encodeMessage(numbered(42)));
+    for (const char byte : bytes)
+        writeAll(slow, std::string(1, byte));
+    REQUIRE(waitUntil([&] { return scheduler.inbox.size() == 1; }));
+    CHECK(scheduler.inbox.messages().front() == numbered(42));
+}
+
+SCENARIO("A scheduler that restarts")
+{
+    const endpoint address = freeEndpoint();
+    auto scheduler = std::make_unique<test_node>(schedulerId, address);
+    test_node router(routerId, {});
+    scheduler->network.start();
+    router.network.start();
+    router.network.setPeers({{"vm-2", address}});
+    router.network.send(schedulerId, numbered(1));
+    REQUIRE(waitUntil([&] { return scheduler->inbox.size() == 1; }));
+
+    WHEN("it stops, messages are sent meanwhile, and it starts again")
+    {
+        scheduler.reset();
+        for (int index = 0; index < 20; ++index) {
+            router.network.send(schedulerId, numbered(2));
+            absl::SleepFor(absl::Milliseconds(10));
+        }
+        scheduler = std::make_unique<test_node>(schedulerId, address);
+        scheduler->network.start();
+        THEN("the router connects again and messages flow")
+        {
+            CHECK(waitUntil([&] {
+                router.network.send(schedulerId, numbered(3));
+                return scheduler->inbox.size() > 0;
+            }));
+        }
+    }
+    WHEN("it moves to another address")
+    {
+        const endpoint elsewhere = freeEndpoint();
+        test_node moved(schedulerId, elsewhere);
+        moved.network.start();
+        router.network.setPeers({{"vm-2", elsewhere}});
+        THEN("messages go to the new address")
+        {
+            CHECK(waitUntil([&] {
+                router.network.send(schedulerId, numbered(3));
+                return moved.inbox.size() > 0;
+            }));
+        }
+    }
+    WHEN("a second process listens at its address")
+    {
+        test_node second(otherSchedulerId, address);
+        THEN("the start fails with the numbered error")
+        {
+            try {
+                second.network.start();
+                FAIL("listening twice must fail");
+            } catch (const std::system_error &error) {
+                CHECK(error.code() == make_error_code(result_code::AddressInUse));
+            }
+        }
+    }
+}
