--- a/modules/protocol/idl/protocol.thrift
+++ b/modules/protocol/idl/protocol.thrift
@@ -141,13 +141,22 @@
     3: string document
 }
 
+/** The owner of a shard as the sender knows it. */
+struct ownership_claim {
+    1: string shard,
+    2: string vm,
+    3: i64 incarnation,
+    4: i64 epoch
+}
+
 /** Scheduler to scheduler. */
 struct heartbeat {
     1: string vm,
     2: i64 incarnation,
     3: i64 sequence,
     4: i64 configurationRevision,
-    5: list<shard_owner> owned,
+    /** Shards that the sender owns, and those that it lost to the receiver. */
+    5: list<ownership_claim> claims,
     6: bool storeReachable,
     /** Revisions in force at the routers that report to this scheduler. */
     7: map<string, i64> routerRevisions,
@@ -200,5 +209,7 @@
 
 struct renewal_reply {
     1: i64 requestId,
-    2: bool renewed
+    2: bool renewed,
+    /** True when the store said that the lease does not exist. */
+    3: bool refused
 }
--- a/modules/routing/node/router_node.cpp
+++ b/modules/routing/node/router_node.cpp
@@ -91,7 +91,8 @@
         m_attempts.erase(request);
         m_actions.emplace_back(finish_request {.request = request,
                                                .code = result_code::CallerGone,
-                                               .execution = execution_state::NotRun});
+                                               .execution = execution_state::NotRun,
+                                               .retryAfter = absl::ZeroDuration()});
         return;
     }
     const auto found = m_running.find(request);
@@ -159,9 +160,8 @@
     for (const protocol::grant &content : batch.grants)
         onGrant(content, now);
     for (const protocol::revocation &item : batch.revocations) {
-        const auto book = m_books.find(item.shard);
-        if (book != m_books.end())
-            book->second.observeEpoch(item.epoch);
+        bookOf(item.shard).revoke(item);
+        markOwnerDue(item.shard);
     }
 }
 
--- a/modules/routing/node/shard_book.cpp
+++ b/modules/routing/node/shard_book.cpp
@@ -2,6 +2,7 @@
 
 #include "foundation/errors/precondition.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace quetzal {
@@ -32,6 +33,14 @@
     return grant_reception::Accepted;
 }
 
+void shard_book::revoke(const protocol::revocation &content)
+{
+    if (content.epoch < m_epoch)
+        return;
+    observeEpoch(content.epoch);
+    m_highestTicket = std::max(m_highestTicket, content.ticket);
+}
+
 void shard_book::begin(const protocol::grant &content, const request_description &request)
 {
     protocol::running_ticket running;
--- a/modules/routing/node/shard_book.h
+++ b/modules/routing/node/shard_book.h
@@ -37,6 +37,8 @@
     void observeEpoch(std::int64_t epoch);
     /** Takes the ticket of a grant into the book unless it is fenced or repeated. */
     grant_reception receive(const protocol::grant &content);
+    /** The ticket will not be used: when it arrives later it counts as repeated. */
+    void revoke(const protocol::revocation &content);
     /** The ticket is used for a request. */
     void begin(const protocol::grant &content, const request_description &request);
     /** Units streamed so far by a running ticket. */
--- a/modules/scheduling/shard/shard_scheduler.cpp
+++ b/modules/scheduling/shard/shard_scheduler.cpp
@@ -165,6 +165,25 @@
     }
 }
 
+std::vector<addressed_revocation> shard_scheduler::revoke(absl::Time now)
+{
+    std::vector<addressed_revocation> revocations;
+    for (auto &[key, ticket] : m_tickets) {
+        const absl::Time lastSent = std::max(ticket.grantedAt, ticket.revokedAt);
+        if (ticket.running || key.first != m_options.epoch)
+            continue;
+        if (now - lastSent < m_options.revocationDelay)
+            continue;
+        ticket.revokedAt = now;
+        addressed_revocation item {.router = ticket.router, .content = {}};
+        item.content.shard = m_options.shard;
+        item.content.epoch = key.first;
+        item.content.ticket = key.second;
+        revocations.push_back(std::move(item));
+    }
+    return revocations;
+}
+
 std::vector<std::pair<std::string, ledger_change>> shard_scheduler::collectLedger(
     const std::function<std::string(const std::string &workspace)> &homeOf)
 {
@@ -260,7 +279,11 @@
         return;
     const auto target = m_targets.find(outcome.target);
     if (target != m_targets.end() && carriesEvidence(outcome))
-        target->second.admission.observeEvidence(evidenceOf(outcome), outcome.targetInstance, now);
+        target->second.admission.observe({.evidence = evidenceOf(outcome),
+                                          .instance = outcome.targetInstance,
+                                          .startedAt = found->second.grantedAt,
+                                          .running = target->second.inUse},
+                                         now);
     if (outcome.ending == protocol::ticket_end::AnsweredWhole)
         m_estimator.learn(featuresOf(outcome.workspace, outcome.requestKind, outcome.hint),
                           outcome.units);
@@ -386,13 +409,8 @@
                                absl::Time now) const
 {
     int limit = target.admission.limit(now);
-    if (target.admission.isCold(now)) {
-        const int half = limit / 2;
-        if (certainty == ownership_certainty::InDoubt)
-            limit = half;
-        if (certainty == ownership_certainty::Succeeding)
-            limit -= half;
-    }
+    if (target.admission.isCold(now))
+        limit = coldShare(certainty, limit);
     const bool doubtful = now < target.doubtUntil || !isComplete(now);
     if (!doubtful)
         return limit - target.inUse;
@@ -416,7 +434,7 @@
 }
 
 addressed_grant shard_scheduler::issue(const std::string &workspace, const std::string &target,
-                                       absl::Time /*now*/)
+                                       absl::Time now)
 {
     const std::optional<std::string> router = m_demand.routerToServe(workspace);
     QUETZAL_PRECONDITION(router.has_value());
@@ -429,7 +447,8 @@
                                             .target = target,
                                             .requestKind = demand.headKind,
                                             .hint = demand.headHint,
-                                            .charged = charged};
+                                            .charged = charged,
+                                            .grantedAt = now};
     occupy(target, 1);
     chargeWorkspace(workspace, charged);
     m_demand.addPending(workspace, *router, 1);
--- a/modules/scheduling/shard/shard_scheduler.h
+++ b/modules/scheduling/shard/shard_scheduler.h
@@ -33,6 +33,8 @@
     absl::Duration grantLifetime = absl::Seconds(2);
     /** A router that is silent for this long has its tickets released. */
     absl::Duration routerTimeout = absl::Seconds(3);
+    /** A grant that no report mentions for this long is revoked, because it may be lost. */
+    absl::Duration revocationDelay = absl::Milliseconds(400);
     /** How long a target's own count is trusted over the tickets after a doubtful release. */
     absl::Duration doubtDuration = absl::Seconds(10);
 };
@@ -46,6 +48,15 @@
     bool operator==(const addressed_grant &) const = default;
 };
 
+/** A revocation and the router's VM that gets it. */
+struct addressed_revocation
+{
+    std::string router;
+    protocol::revocation content;
+
+    bool operator==(const addressed_revocation &) const = default;
+};
+
 /** State of one target for the status page. */
 struct target_status
 {
@@ -96,6 +107,9 @@
     /** Grants free slots to waiting requests in fair order. */
     std::vector<addressed_grant> grant(ownership_certainty certainty, absl::Time now);
 
+    /** Revokes grants that no report has mentioned for long; repeated until one does. */
+    std::vector<addressed_revocation> revoke(absl::Time now);
+
     /** Ledger changes to send, each with the VM of its home. */
     std::vector<std::pair<std::string, ledger_change>>
     collectLedger(const std::function<std::string(const std::string &workspace)> &homeOf);
@@ -119,6 +133,8 @@
         double hint = 0.0;
         double charged = 0.0;
         bool running = false;
+        absl::Time grantedAt = absl::InfinitePast();
+        absl::Time revokedAt = absl::InfinitePast();
     };
     struct router_state
     {
