--- /dev/null
+++ b/apps/scheduler/scheduler_process.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "apps/scheduler/scheduler_settings.h"
+#include "scheduling/node/scheduler_node.h"
+#include "transport/link/message_network.h"
+#include "transport/platform/vm_list_client.h"
+#include "transport/process/work_queue.h"
+#include "transport/store/store_client.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <absl/synchronization/notification.h>
+
+#include <functional>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace quetzal {
+
+/** Connects a scheduler_node with the network, the store, the VM list and the targets. */
+class scheduler_process
+{
+public:
+    explicit scheduler_process(scheduler_settings settings);
+    ~scheduler_process();
+    scheduler_process(const scheduler_process &) = delete;
+    scheduler_process &operator=(const scheduler_process &) = delete;
+
+    /** Starts the threads; throws std::system_error when the address is in use. */
+    void start();
+    /** Hands over every shard, waits until that is done or the time is up, then ends. */
+    void stop(absl::Duration mostTime);
+    scheduler_status status();
+    network_counts counts() const { return m_network.counts(); }
+
+private:
+    /** Runs one event on the node and carries out the actions that it brings. */
+    void handle(const std::function<void(scheduler_node &, absl::Time)> &event);
+    void perform(std::vector<scheduler_action> actions);
+    void tick();
+    void pollVmList();
+    void pollLoads();
+    void poll(const target_listing &target);
+
+    scheduler_settings m_settings;
+    absl::Mutex m_mutex;
+    scheduler_node m_node ABSL_GUARDED_BY(m_mutex);
+    message_network m_network;
+    store_client m_storeCalls;
+    store_client m_storeWatch;
+    work_queue m_storeWork;
+    work_queue m_loadWork;
+    absl::Mutex m_pollMutex;
+    std::set<std::string> m_polling ABSL_GUARDED_BY(m_pollMutex);
+    absl::Notification m_stop;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/scheduler/scheduler_settings.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "foundation/json/json_reader.h"
+#include "transport/link/message_network.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace quetzal {
+
+/** The settings file of quetzal-scheduler. */
+struct scheduler_settings
+{
+    std::string vm;
+    std::string dataCentre;
+    std::string environment;
+    /** Where routers and other schedulers connect. */
+    endpoint listen;
+    /** Where GET /v1/status, /healthz and /metrics are served. */
+    endpoint statusListen;
+    endpoint store;
+    endpoint vmList;
+    std::string logLevel;
+
+    /** Store key prefix of the environment. */
+    std::string keyPrefix() const { return "/quetzal/" + environment; }
+};
+
+/** Checked settings or their faults. */
+struct scheduler_settings_reading
+{
+    scheduler_settings settings;
+    std::vector<json_fault> faults;
+};
+
+/** Reads and checks the whole text of a settings file. */
+scheduler_settings_reading readSchedulerSettings(std::string_view text);
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/transport/process/work_queue.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+
+#include <deque>
+#include <functional>
+#include <thread>
+#include <vector>
+
+namespace quetzal {
+
+/** Runs blocking pieces of work on a few threads of its own, in the order of their arrival. */
+class work_queue
+{
+public:
+    /** mostWaiting bounds the work that waits; more is dropped by add(). */
+    work_queue(int threads, std::size_t mostWaiting);
+    /** Finishes the running work and drops what waits. */
+    ~work_queue();
+    work_queue(const work_queue &) = delete;
+    work_queue &operator=(const work_queue &) = delete;
+
+    /** Queues work; false when the queue is full. */
+    bool add(std::function<void()> work);
+
+private:
+    void run();
+    bool hasNews() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(m_mutex);
+
+    std::size_t m_mostWaiting;
+    absl::Mutex m_mutex;
+    std::deque<std::function<void()>> m_waiting ABSL_GUARDED_BY(m_mutex);
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+    std::vector<std::thread> m_threads;
+};
+
+} // namespace quetzal
--- a/modules/transport/transport.h
+++ b/modules/transport/transport.h
@@ -10,4 +10,6 @@
 
 #include "transport/link/message_network.h"
 #include "transport/platform/vm_list_client.h"
+#include "transport/process/monotonic_clock.h"
+#include "transport/process/work_queue.h"
 #include "transport/store/store_client.h"
