Stand-ins for engines, plain services, the key-value store and the VM list

Cause: the router and the scheduler need the outside systems on loopback to be built against. Each program serves the HTTP of the agreed interfaces from settings in JSON with comments; what decides (slots and cold start, keys, leases and history, lag of the VM list) has no I/O and takes the time as an argument. cpp-httplib always answers once a handler returns, so the server brings its own connection stream with which a handler can close a connection without an answer; a fixed thread pool was ruled out because a stream holds its thread, so threads are started on demand. No tests yet.

--- /dev/null
+++ b/standins/common/elastic_task_queue.cpp
@@ -0,0 +1,49 @@
+#include "standins/common/elastic_task_queue.h"
+
+#include <utility>
+
+namespace quetzal::standins {
+
+elastic_task_queue::elastic_task_queue(std::size_t mostThreads)
+    : m_mostThreads(mostThreads)
+{
+}
+
+void elastic_task_queue::enqueue(std::function<void()> task)
+{
+    const std::lock_guard lock(m_mutex);
+    m_tasks.push_back(std::move(task));
+    if (m_idle < m_tasks.size() && m_threads.size() < m_mostThreads)
+        m_threads.emplace_back([this] { work(); });
+    m_changed.notify_one();
+}
+
+void elastic_task_queue::shutdown()
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        m_shutdown = true;
+    }
+    m_changed.notify_all();
+    for (std::thread &thread : m_threads)
+        thread.join();
+}
+
+void elastic_task_queue::work()
+{
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        ++m_idle;
+        m_changed.wait(lock, [this] { return m_shutdown || !m_tasks.empty(); });
+        --m_idle;
+        if (m_tasks.empty())
+            return;
+        const std::function<void()> task = std::move(m_tasks.front());
+        m_tasks.pop_front();
+        lock.unlock();
+        task();
+        lock.lock();
+    }
+}
+
+} // namespace quetzal::standins
--- /dev/null
+++ b/standins/vmlist/vm_list_server.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "standins/common/standin_server.h"
+#include "standins/vmlist/vm_list_model.h"
+
+#include <cstdint>
+#include <mutex>
+#include <string>
+
+namespace quetzal::standins {
+
+/** The VM list over HTTP. */
+class vm_list_server
+{
+public:
+    vm_list_server(nlohmann::json vms, absl::Duration lag);
+
+    /** Begins to listen; throws std::system_error when the address is taken. */
+    void start(const std::string &ip, int port);
+    void finish();
+
+private:
+    void list(httplib::Response &response);
+    void replace(const httplib::Request &request, httplib::Response &response);
+    void setState(const httplib::Request &request, httplib::Response &response);
+    void setLag(const httplib::Request &request, httplib::Response &response);
+
+    standin_server m_server;
+    std::mutex m_mutex;
+    vm_list_model m_model;
+    std::int64_t m_reads = 0;
+};
+
+} // namespace quetzal::standins
