--- /dev/null
+++ b/apps/router/main.cpp
@@ -0,0 +1,132 @@
+#include "apps/common/program.h"
+#include "apps/router/http_front.h"
+#include "apps/router/router_process.h"
+#include "apps/router/router_settings.h"
+#include "telemetry/telemetry.h"
+
+#include <nlohmann/json.hpp>
+
+#include <iostream>
+#include <thread>
+
+namespace quetzal {
+
+namespace {
+
+constexpr char program[] = "quetzal-router";
+constexpr int statusThreads = 4;
+constexpr int serviceUnavailable = 503;
+/** How long requests are still accepted after the health check has begun to fail. */
+constexpr absl::Duration drainDelay = absl::Seconds(2);
+
+std::string statusText(const router_settings &settings, router_process &process)
+{
+    const router_status status = process.status();
+    const network_counts counts = process.counts();
+    return nlohmann::json {{"vm", settings.vm},
+                           {"configurationRevision", status.configurationRevision},
+                           {"isolated", status.isolated},
+                           {"stopping", status.stopping},
+                           {"waiting", status.waiting},
+                           {"running", status.running},
+                           {"controlBytesSent", counts.bytesSent},
+                           {"controlBytesReceived", counts.bytesReceived},
+                           {"controlMessagesSent", counts.messagesSent},
+                           {"controlMessagesReceived", counts.messagesReceived}}
+        .dump();
+}
+
+void installStatus(httplib::Server &server, const router_settings &settings,
+                   router_process &process, metric_registry &metrics, std::atomic<bool> &draining)
+{
+    server.new_task_queue = [] {
+        return new httplib::ThreadPool(statusThreads);
+    };
+    server.Get("/healthz", [&](const httplib::Request &, httplib::Response &response) {
+        const router_status status = process.status();
+        const bool healthy
+            = !draining && !status.isolated && !status.stopping && status.configurationRevision > 0;
+        response.status = healthy ? 200 : serviceUnavailable;
+        response.set_content(healthy ? "ok\n" : "not serving\n", "text/plain");
+    });
+    server.Get("/v1/status", [&](const httplib::Request &, httplib::Response &response) {
+        response.set_content(statusText(settings, process), "application/json");
+    });
+    server.Get("/metrics", [&](const httplib::Request &, httplib::Response &response) {
+        response.set_content(metrics.text(), "text/plain; version=0.0.4");
+    });
+}
+
+int run(const router_settings &settings)
+{
+    logger log({.program = program,
+                .vm = settings.vm,
+                .level = parseLogLevel(settings.logLevel).value_or(log_level::Info)});
+    tracer traces({.resource = {program, settings.vm, settings.dataCentre},
+                   .file = settings.traceFile,
+                   .sampledPart = settings.tracedPart});
+    metric_registry metrics;
+    router_process process(settings);
+    http_front front(settings, process, log, traces, metrics);
+    std::atomic<bool> draining {false};
+
+    httplib::Server statusServer;
+    installStatus(statusServer, settings, process, metrics, draining);
+    httplib::Server server;
+    const auto threads = static_cast<std::size_t>(settings.threads);
+    server.new_task_queue = [threads] {
+        return new httplib::ThreadPool(threads);
+    };
+    server.set_payload_max_length(static_cast<std::size_t>(settings.mostBodyBytes));
+    server.set_keep_alive_max_count(1000);
+    server.set_tcp_nodelay(true);
+    front.install(server);
+
+    const bool bound = server.bind_to_port(settings.listen.ip.c_str(), settings.listen.port)
+        && statusServer.bind_to_port(settings.statusListen.ip.c_str(), settings.statusListen.port);
+    if (!bound) {
+        log.error("the listening address cannot be bound",
+                  {{"code", static_cast<std::int64_t>(result_code::AddressInUse)}});
+        return 1;
+    }
+    process.start();
+    std::thread serverThread([&server] { server.listen_after_bind(); });
+    std::thread statusThread([&statusServer] { statusServer.listen_after_bind(); });
+    log.info("started", {{"listen", toText(settings.listen)}});
+
+    waitForTermination();
+    log.info("stopping");
+    draining = true;
+    absl::SleepFor(drainDelay);
+    process.beginStop();
+    process.waitUntilFinished(settings.stopTimeout);
+    server.stop();
+    serverThread.join();
+    statusServer.stop();
+    statusThread.join();
+    process.stop();
+    log.info("stopped");
+    return 0;
+}
+
+} // namespace
+
+} // namespace quetzal
+
+int main(int argc, char **argv)
+{
+    int exitCode = 0;
+    const auto invocation = quetzal::readCommandLine(argc, argv, quetzal::program, exitCode);
+    if (!invocation)
+        return exitCode;
+    const quetzal::router_settings_reading reading
+        = quetzal::readRouterSettings(invocation->settingsText);
+    if (!reading.faults.empty()) {
+        std::cerr << quetzal::toText(reading.faults);
+        return quetzal::usageExitCode;
+    }
+    if (invocation->checkOnly)
+        return 0;
+    quetzal::blockTerminationSignals();
+    return quetzal::run(reading.settings);
+}
--- /dev/null
+++ b/apps/router/target_call.cpp
@@ -0,0 +1,294 @@
+#include "apps/router/target_call.h"
+
+#include "transport/link/message_network.h"
+#include "transport/process/monotonic_clock.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <optional>
+
+namespace quetzal {
+
+namespace {
+
+constexpr absl::Duration connectTimeout = absl::Seconds(1);
+constexpr absl::Duration cancelTimeout = absl::Seconds(1);
+constexpr int mostResumptions = 5;
+constexpr int statusOk = 200;
+constexpr int serviceUnavailable = 503;
+constexpr std::size_t mostAnswerBytes = std::size_t {64} * 1024 * 1024;
+
+httplib::Client makeClient(const target_request &request, absl::Duration readTimeout)
+{
+    const endpoint address = parseEndpoint(request.address);
+    httplib::Client client(address.ip, address.port);
+    client.set_connection_timeout(absl::ToChronoMicroseconds(connectTimeout));
+    client.set_read_timeout(absl::ToChronoMicroseconds(readTimeout));
+    client.set_write_timeout(absl::ToChronoMicroseconds(request.silenceTimeout));
+    client.set_keep_alive(false);
+    client.set_tcp_nodelay(true);
+    return client;
+}
+
+httplib::Request makeRequest(const target_request &request)
+{
+    httplib::Request result;
+    result.method = request.method;
+    result.path = request.path;
+    result.body = request.body;
+    result.headers = {{"X-Request-Id", request.requestId},
+                      {"X-Caller-Request-Id", request.callerRequestId},
+                      {"traceparent", request.traceparent}};
+    if (!request.contentType.empty())
+        result.headers.emplace("Content-Type", request.contentType);
+    return result;
+}
+
+absl::Duration remaining(const target_request &request)
+{
+    return std::max(request.deadline - monotonicNow(), absl::Milliseconds(1));
+}
+
+bool isConnectFailure(httplib::Error error)
+{
+    return error == httplib::Error::Connection || error == httplib::Error::ConnectionTimeout
+        || error == httplib::Error::BindIPAddress;
+}
+
+attempt_result refusal(const httplib::Response &response)
+{
+    const nlohmann::json body = nlohmann::json::parse(response.body, nullptr, false);
+    std::string type;
+    if (body.is_object() && body.contains("error") && body["error"].is_object())
+        type = body["error"].value("type", "");
+    const auto signal = type == "leaving" ? protocol::target_signal::Leaving
+                                          : protocol::target_signal::Overloaded;
+    return {.ending = attempt_ending::RefusedUnrun,
+            .signal = signal,
+            .targetInstance = response.get_header_value("X-Instance-Id")};
+}
+
+bool isRefusal(const httplib::Response &response)
+{
+    return response.status == serviceUnavailable
+        && response.get_header_value("X-Not-Run") == "true";
+}
+
+/** How an attempt without a usable answer ended. */
+attempt_result failure(httplib::Error error, absl::Duration silence, absl::Duration timeout)
+{
+    if (isConnectFailure(error))
+        return {.ending = attempt_ending::NotSent,
+                .signal = protocol::target_signal::ConnectionRefused};
+    const bool timedOut = silence >= timeout;
+    return {.ending = attempt_ending::LostBeforeAnswer,
+            .signal = timedOut ? protocol::target_signal::Silent
+                               : protocol::target_signal::ConnectionReset};
+}
+
+void cancelAtTarget(const target_request &request)
+{
+    if (!request.isModel)
+        return;
+    httplib::Client client = makeClient(request, cancelTimeout);
+    client.Delete(("/v1/requests/" + request.requestId).c_str());
+}
+
+double unitsOfBody(const target_request &request, const std::string &body)
+{
+    if (!request.isModel)
+        return 1.0;
+    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+    if (!answer.is_object() || !answer.contains("usage") || !answer["usage"].is_object())
+        return 0.0;
+    return answer["usage"].value("completion_tokens", 0.0);
+}
+
+bool belongsTo(const target_request &request, const httplib::Response &response)
+{
+    if (response.get_header_value("X-Request-Id") != request.requestId)
+        return false;
+    if (!request.isModel || response.status != statusOk)
+        return true;
+    const nlohmann::json answer = nlohmann::json::parse(response.body, nullptr, false);
+    return answer.is_object() && answer.value("id", "") == request.requestId;
+}
+
+/** One connection's part of a stream. */
+struct stream_leg
+{
+    httplib::Error error = httplib::Error::Success;
+    std::optional<attempt_result> refused;
+    bool mismatched = false;
+    bool stopped = false;
+    bool timedOut = false;
+    bool unknownAtTarget = false;
+    std::string instance;
+};
+
+/** Runs a streamed request over as many connections as its resumption needs. */
+class stream_runner
+{
+public:
+    stream_runner(const target_request &request, const stream_sink &sink,
+                  const std::function<void(double)> &onUnits)
+        : m_request(request)
+        , m_sink(sink)
+        , m_onUnits(onUnits)
+        , m_verifier(request.requestId)
+    {
+    }
+
+    attempt_result run()
+    {
+        stream_leg leg = runLeg(makeRequest(m_request), m_request.firstByteTimeout);
+        if (leg.refused)
+            return *leg.refused;
+        if (isConnectFailure(leg.error))
+            return failure(leg.error, absl::ZeroDuration(), m_request.firstByteTimeout);
+        int resumptions = 0;
+        while (needsResumption(leg) && resumptions < mostResumptions) {
+            ++resumptions;
+            leg = resume();
+        }
+        return settle(leg);
+    }
+
+private:
+    bool needsResumption(const stream_leg &leg) const
+    {
+        const bool open
+            = m_verifier.state() == stream_state::Open || m_verifier.state() == stream_state::Gap;
+        const bool over = leg.stopped || leg.mismatched || leg.unknownAtTarget;
+        return open && !over && monotonicNow() < m_request.deadline;
+    }
+
+    stream_leg resume()
+    {
+        m_verifier.beginResumption();
+        httplib::Request request;
+        request.method = "GET";
+        request.path = "/v1/requests/" + m_request.requestId
+            + "/stream?offset=" + std::to_string(m_verifier.nextEvent());
+        return runLeg(request, m_request.silenceTimeout);
+    }
+
+    stream_leg runLeg(httplib::Request request, absl::Duration readTimeout)
+    {
+        stream_leg leg;
+        const absl::Duration timeout = std::min(readTimeout, remaining(m_request));
+        httplib::Client client = makeClient(m_request, timeout);
+        absl::Time lastByte = monotonicNow();
+        httplib::Response head;
+        request.response_handler = [&](const httplib::Response &response) {
+            head = response;
+            leg.instance = response.get_header_value("X-Instance-Id");
+            const bool found = response.status == statusOk;
+            leg.mismatched
+                = found && response.get_header_value("X-Request-Id") != m_request.requestId;
+            return !leg.mismatched;
+        };
+        request.content_receiver
+            = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+                  lastByte = monotonicNow();
+                  if (head.status != statusOk) {
+                      head.body.append(data, size);
+                      return true;
+                  }
+                  return pass(std::string_view(data, size), leg);
+              };
+        const httplib::Result result = client.send(request);
+        leg.error = result.error();
+        leg.timedOut = monotonicNow() - lastByte >= timeout;
+        if (isRefusal(head))
+            leg.refused = refusal(head);
+        leg.unknownAtTarget = head.status != 0 && head.status != statusOk;
+        return leg;
+    }
+
+    bool pass(std::string_view bytes, stream_leg &leg)
+    {
+        const std::string text = m_verifier.feed(bytes);
+        m_onUnits(m_verifier.units());
+        const bool late = monotonicNow() >= m_request.deadline;
+        const bool wanted = !late && !m_request.isCancelled() && (text.empty() || m_sink(text));
+        leg.stopped = !wanted;
+        return wanted && m_verifier.state() == stream_state::Open;
+    }
+
+    attempt_result settle(const stream_leg &leg)
+    {
+        attempt_result result {.units = m_verifier.units(), .targetInstance = leg.instance};
+        if (m_verifier.state() == stream_state::Complete) {
+            result.ending = attempt_ending::AnsweredWhole;
+            return result;
+        }
+        cancelAtTarget(m_request);
+        result.signal = leg.timedOut ? protocol::target_signal::Silent
+                                     : protocol::target_signal::ConnectionReset;
+        if (leg.stopped || monotonicNow() >= m_request.deadline) {
+            result.ending = attempt_ending::Cancelled;
+            result.signal = protocol::target_signal::None;
+        } else if (m_verifier.hasStarted()) {
+            result.ending = attempt_ending::LostDuringAnswer;
+        } else if (leg.mismatched || m_verifier.state() == stream_state::Mismatched) {
+            result.ending = attempt_ending::Mismatched;
+            result.signal = protocol::target_signal::None;
+        } else {
+            result.ending = attempt_ending::LostBeforeAnswer;
+        }
+        return result;
+    }
+
+    const target_request &m_request;
+    const stream_sink &m_sink;
+    const std::function<void(double)> &m_onUnits;
+    stream_verifier m_verifier;
+};
+
+} // namespace
+
+whole_outcome callWhole(const target_request &request)
+{
+    const absl::Duration timeout = std::min(request.firstByteTimeout, remaining(request));
+    httplib::Client client = makeClient(request, timeout);
+    httplib::Request sent = makeRequest(request);
+    std::string body;
+    httplib::Response head;
+    sent.response_handler = [&head](const httplib::Response &response) {
+        head = response;
+        return true;
+    };
+    sent.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+        body.append(data, size);
+        return body.size() <= mostAnswerBytes && !request.isCancelled();
+    };
+    const absl::Time start = monotonicNow();
+    const httplib::Result result = client.send(sent);
+    if (!result) {
+        cancelAtTarget(request);
+        const bool late = monotonicNow() >= request.deadline && !isConnectFailure(result.error());
+        if (late || request.isCancelled())
+            return {{.ending = attempt_ending::Cancelled}, {}};
+        return {failure(result.error(), monotonicNow() - start, timeout), {}};
+    }
+    head.body = std::move(body);
+    if (isRefusal(head))
+        return {refusal(head), {}};
+    const std::string instance = head.get_header_value("X-Instance-Id");
+    if (!belongsTo(request, head))
+        return {{.ending = attempt_ending::Mismatched, .targetInstance = instance}, {}};
+    const double units = unitsOfBody(request, head.body);
+    return {{.ending = attempt_ending::AnsweredWhole, .units = units, .targetInstance = instance},
+            {head.status, head.get_header_value("Content-Type"), std::move(head.body)}};
+}
+
+attempt_result callStream(const target_request &request, const stream_sink &sink,
+                          const std::function<void(double)> &onUnits)
+{
+    return stream_runner(request, sink, onUnits).run();
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/scheduler/main.cpp
@@ -0,0 +1,100 @@
+#include "apps/common/program.h"
+#include "apps/scheduler/scheduler_process.h"
+#include "apps/scheduler/scheduler_settings.h"
+#include "foundation/errors/result_code.h"
+#include "telemetry/telemetry.h"
+
+#include <httplib.h>
+
+#include <iostream>
+#include <system_error>
+#include <thread>
+
+namespace quetzal {
+
+namespace {
+
+constexpr char program[] = "quetzal-scheduler";
+constexpr int statusThreads = 4;
+constexpr int serviceUnavailable = 503;
+/** Longest time that handing over the shards may take. */
+constexpr absl::Duration stopTimeout = absl::Seconds(15);
+
+void installStatus(httplib::Server &server, scheduler_process &process, metric_registry &metrics)
+{
+    server.new_task_queue = [] {
+        return new httplib::ThreadPool(statusThreads);
+    };
+    server.Get("/healthz", [&process](const httplib::Request &, httplib::Response &response) {
+        const scheduler_status status = process.status();
+        const bool healthy = status.connected && !status.stopping;
+        response.status = healthy ? 200 : serviceUnavailable;
+        response.set_content(healthy ? "ok\n" : "not connected\n", "text/plain");
+    });
+    server.Get("/v1/status", [&process](const httplib::Request &, httplib::Response &response) {
+        response.set_content(toJson(process.status()), "application/json");
+    });
+    server.Get("/metrics", [&](const httplib::Request &, httplib::Response &response) {
+        const network_counts counts = process.counts();
+        const std::string help = "Bytes of messages between processes, framing included.";
+        metrics.gaugeFor("quetzal_control_sent_bytes", help)
+            .set(static_cast<double>(counts.bytesSent));
+        metrics.gaugeFor("quetzal_control_received_bytes", help)
+            .set(static_cast<double>(counts.bytesReceived));
+        response.set_content(metrics.text(), "text/plain; version=0.0.4");
+    });
+}
+
+int run(const scheduler_settings &settings)
+{
+    logger log({.program = program,
+                .vm = settings.vm,
+                .level = parseLogLevel(settings.logLevel).value_or(log_level::Info)});
+    metric_registry metrics;
+    scheduler_process process(settings);
+    httplib::Server statusServer;
+    installStatus(statusServer, process, metrics);
+    const bool bound
+        = statusServer.bind_to_port(settings.statusListen.ip.c_str(), settings.statusListen.port);
+    try {
+        if (!bound)
+            throw std::system_error(make_error_code(result_code::AddressInUse));
+        process.start();
+    } catch (const std::system_error &error) {
+        log.error("the listening address cannot be bound",
+                  {{"code", static_cast<std::int64_t>(error.code().value())}});
+        return 1;
+    }
+    std::thread statusThread([&statusServer] { statusServer.listen_after_bind(); });
+    log.info("started", {{"listen", toText(settings.listen)}});
+
+    waitForTermination();
+    log.info("stopping");
+    process.stop(stopTimeout);
+    statusServer.stop();
+    statusThread.join();
+    log.info("stopped");
+    return 0;
+}
+
+} // namespace
+
+} // namespace quetzal
+
+int main(int argc, char **argv)
+{
+    int exitCode = 0;
+    const auto invocation = quetzal::readCommandLine(argc, argv, quetzal::program, exitCode);
+    if (!invocation)
+        return exitCode;
+    const quetzal::scheduler_settings_reading reading
+        = quetzal::readSchedulerSettings(invocation->settingsText);
+    if (!reading.faults.empty()) {
+        std::cerr << quetzal::toText(reading.faults);
+        return quetzal::usageExitCode;
+    }
+    if (invocation->checkOnly)
+        return 0;
+    quetzal::blockTerminationSignals();
+    return quetzal::run(reading.settings);
+}
--- a/apps/scheduler/scheduler_process.cpp
+++ b/apps/scheduler/scheduler_process.cpp
@@ -105,9 +105,8 @@
         const store_request request = std::get<store_request>(action);
         m_storeWork.add([this, request] {
             const store_reply reply = m_storeCalls.perform(request);
-            handle([&reply](scheduler_node &node, absl::Time now) {
-                node.onStoreReply(reply, now);
-            });
+            handle(
+                [&reply](scheduler_node &node, absl::Time now) { node.onStoreReply(reply, now); });
         });
     }
 }
@@ -158,9 +157,8 @@
 {
     const std::optional<target_load> load = load_client(parseEndpoint(target.address)).fetch();
     if (load)
-        handle([&](scheduler_node &node, absl::Time now) {
-            node.onLoad(target.target, *load, now);
-        });
+        handle(
+            [&](scheduler_node &node, absl::Time now) { node.onLoad(target.target, *load, now); });
     const absl::MutexLock lock(&m_pollMutex);
     m_polling.erase(target.target);
 }
