--- a/modules/routing/node/router_node.cpp
+++ b/modules/routing/node/router_node.cpp
@@ -406,8 +406,9 @@
 {
     if (m_schedulers.empty())
         return {};
-    const absl::Time lastSign = std::max(m_lastView, m_homeSince);
-    if (now - lastSign > m_options.homeTimeout) {
+    const bool silent = now - m_lastView > m_options.homeTimeout;
+    const bool tried = now - m_homeSince > m_options.homeTryInterval;
+    if (silent && tried) {
         if (m_homeSince != absl::InfinitePast())
             m_homeIndex = (m_homeIndex + 1) % m_schedulers.size();
         m_homeSince = now;
--- a/modules/routing/node/router_node.h
+++ b/modules/routing/node/router_node.h
@@ -39,6 +39,8 @@
     absl::Duration isolationTimeout = absl::Milliseconds(1500);
     /** Without a fleet view for this long another scheduler is asked. */
     absl::Duration homeTimeout = absl::Milliseconds(800);
+    /** How long a scheduler that was asked may take to answer before the next one is asked. */
+    absl::Duration homeTryInterval = absl::Milliseconds(200);
 };
 
 /** What the router's health check and status tell. */
