--- a/modules/ownership/shards/held_shard.h
+++ b/modules/ownership/shards/held_shard.h
@@ -30,10 +30,14 @@
     absl::Time since = absl::InfinitePast();
     /** True from the sending of a transaction that gives the shard away. */
     bool leaving = false;
+    /** True when the owner before may have granted a whole cold limit until this one took over. */
+    bool abrupt = false;
     std::vector<former_owner_state> former;
 
     /** True when no grant of a former owner can be used any more. */
     bool isSoleGranter(absl::Duration grantLifetime, absl::Time now) const;
+    /** True when no grant on a cold target is safe yet. */
+    bool mustWait(absl::Duration grantLifetime, absl::Time now) const;
     /** The former owners that may still grant. */
     std::vector<former_owner> unstopped() const;
 
--- a/modules/ownership/shards/shard_ownership.h
+++ b/modules/ownership/shards/shard_ownership.h
@@ -141,7 +141,8 @@
  * - InDoubt (half, down): every former owner has stopped, and the lease may lapse before a grant
  *   made now. A process that was paused lists nothing until it has settled.
  * - Succeeding (half, up): the lease is held as for Certain, but a former owner may still grant.
- * - SucceedingInDoubt (none): neither.
+ * - SucceedingInDoubt (none): neither, or for grantLifetime after a former owner's restart, which
+ *   ends that owner's grants without halving them first.
  *
  * Proof: the store's record and member keys let one scheduler at a time hold a shard with a lease,
  * so at most one is Certain or Succeeding. A successor is told by the record which owners may still
--- a/modules/ownership/shards/shard_ownership_requests.cpp
+++ b/modules/ownership/shards/shard_ownership_requests.cpp
@@ -69,6 +69,7 @@
     held_shard held {.epoch = stored.record.epoch,
                      .modRevision = stored.modRevision,
                      .since = now,
+                     .abrupt = stored.record.abrupt,
                      .former = formerStates(stored.record.former, now)};
     if (held.unstopped().empty() || mayTakeFromDoubt(now))
         m_held[shard] = std::move(held);
@@ -120,15 +121,17 @@
     const stored_record<shard_record> &stored = m_view.shard(definition.shard);
     const auto known = m_knownOwners.find(definition.shard);
     const std::int64_t knownEpoch = known == m_knownOwners.end() ? 0 : known->second.epoch;
+    const std::string &owner = stored.record.vm;
+    const std::vector<former_owner> before = formerOwnersAfter(stored.record);
     const shard_record record {.vm = m_options.vm,
                                .incarnation = m_options.incarnation,
                                .epoch = std::max(stored.record.epoch, knownEpoch) + 1,
-                               .former
-                               = formerOwnersWithoutStop(formerOwnersAfter(stored.record), now)};
+                               .former = formerOwnersWithoutStop(before, now),
+                               .abrupt = !owner.empty() && m_view.member(owner).modRevision != 0};
     store_transaction transaction
         = guardedTransaction(definition.shard, record, stored.modRevision, now);
-    if (!stored.record.vm.empty() && stored.record.vm != m_options.vm)
-        addMemberCompare(transaction, stored.record.vm);
+    if (!owner.empty() && owner != m_options.vm)
+        addMemberCompare(transaction, owner);
     return transaction;
 }
 
@@ -225,6 +228,7 @@
     m_held[pending.shard] = {.epoch = pending.record.epoch,
                              .modRevision = revision,
                              .since = now,
+                             .abrupt = pending.record.abrupt,
                              .former = formerStates(pending.record.former, now)};
 }
 
--- a/modules/ownership/shards/shard_ownership_rules.cpp
+++ b/modules/ownership/shards/shard_ownership_rules.cpp
@@ -133,7 +133,7 @@
 
 bool shard_ownership::isSettled(absl::Time now) const
 {
-    const absl::Duration settling = m_options.requestTimeout + m_options.heartbeatDelay;
+    const absl::Duration settling = m_options.peerSilence + m_options.heartbeatDelay;
     return now - m_advancedAt <= m_options.pauseTolerance && now >= m_resumedAt + settling;
 }
 
@@ -153,6 +153,8 @@
 
 ownership_certainty shard_ownership::certainty(const held_shard &held, absl::Time now) const
 {
+    if (held.mustWait(m_options.grantLifetime, now))
+        return ownership_certainty::SucceedingInDoubt;
     const bool sole = held.isSoleGranter(m_options.grantLifetime, now);
     const bool leaving = held.leaving || now >= m_stoppingSince;
     if (!leaving && (isDoubtFree(now) || couldOnlyBeOwner(now)))
--- a/modules/ownership/store/shard_record.cpp
+++ b/modules/ownership/store/shard_record.cpp
@@ -20,7 +20,8 @@
     const nlohmann::json text = {{"vm", record.vm},
                                  {"incarnation", record.incarnation},
                                  {"epoch", record.epoch},
-                                 {"former", former}};
+                                 {"former", former},
+                                 {"abrupt", record.abrupt}};
     return text.dump();
 }
 
@@ -33,7 +34,8 @@
         shard_record record {.vm = json.at("vm").get<std::string>(),
                              .incarnation = json.at("incarnation").get<std::int64_t>(),
                              .epoch = json.at("epoch").get<std::int64_t>(),
-                             .former = {}};
+                             .former = {},
+                             .abrupt = json.at("abrupt").get<bool>()};
         for (const nlohmann::json &owner : json.at("former")) {
             record.former.push_back({.vm = owner.at("vm").get<std::string>(),
                                      .incarnation = owner.at("incarnation").get<std::int64_t>()});
--- /dev/null
+++ b/tests/targets/target_admission_test.cpp
@@ -0,0 +1,3 @@
+#include "targets/targets.h"
+
+#include <catch2/catch.hpp>
