Stories of single faults of shard ownership

Kill, pause past the lease (owner, then successor), restart, cut from the store only, cut from store and peers, store down and slow, lost answers, racing takers, planned stop, replacement of all, disappearing definition.

--- a/modules/ownership/store/shard_record.h
+++ b/modules/ownership/store/shard_record.h
@@ -25,7 +25,8 @@
     std::int64_t epoch = 0;
     /** Owners of lower epochs that were not known to have stopped when this record was written. */
     std::vector<former_owner> former;
-    /** True when the owner before was replaced by a restart, so that its grants need not be halved. */
+    /** True when the owner before was replaced by a restart, so that its grants need not be halved.
+     */
     bool abrupt = false;
 
     bool operator==(const shard_record &) const = default;
--- a/tests/ownership/ownership_fleet.cpp
+++ b/tests/ownership/ownership_fleet.cpp
@@ -137,8 +137,8 @@
     const std::int64_t lease = m_nodes[node].ownership->lease();
     const absl::Time sentAt = m_now;
     for (int peer = 0; peer < size(); ++peer) {
-        const bool able = peer != node && isRunning(peer) && reaches(node, peer)
-            && reachesStore(peer);
+        const bool able
+            = peer != node && isRunning(peer) && reaches(node, peer) && reachesStore(peer);
         if (!able)
             continue;
         const store_reply reply = m_store.perform(lease_renewal {.lease = lease}, m_now);
@@ -163,9 +163,8 @@
             --m_nodes[node].answersToLose;
             return;
         }
-        send(node, m_storeDelay, [this, reply](shard_ownership &ownership) {
-            ownership.onStoreReply(reply, m_now);
-        });
+        send(node, m_storeDelay,
+             [this, reply](shard_ownership &ownership) { ownership.onStoreReply(reply, m_now); });
     });
 }
 
@@ -387,8 +386,8 @@
             certain += times[static_cast<int>(ownership_certainty::Certain)] == m_now ? 1 : 0;
         }
         if (usable > limit || certain > 1) {
-            violate(absl::StrCat(shardName(shard), ": ", usable, " of ", limit, " usable,",
-                                 holders));
+            violate(
+                absl::StrCat(shardName(shard), ": ", usable, " of ", limit, " usable,", holders));
         }
     }
 }
--- a/tests/ownership/ownership_fuzz_test.cpp
+++ b/tests/ownership/ownership_fuzz_test.cpp
@@ -141,8 +141,8 @@
         ownership_fleet fleet(nodes, shards, *rc::gen::arbitrary<std::uint64_t>());
         fleet.run(absl::Seconds(14));
         RC_ASSERT(fleet.isSettled());
-        const auto commands = *rc::state::gen::commands(
-            model, rc::state::gen::execOneOfWithArgs<fault_command>());
+        const auto commands
+            = *rc::state::gen::commands(model, rc::state::gen::execOneOfWithArgs<fault_command>());
         rc::state::runAll(commands, model, fleet);
         fleet.heal();
         fleet.run(settlingBound());
--- /dev/null
+++ b/tests/ownership/shard_ownership_test.cpp
@@ -0,0 +1,307 @@
+#include "ownership_fleet.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace quetzal;
+
+namespace {
+
+constexpr int nodes = 5;
+constexpr int shards = 3;
+constexpr absl::Duration start = absl::Seconds(14);
+
+int ownerOf(const ownership_fleet &fleet, int shard)
+{
+    const std::vector<int> granters = fleet.granters(shard);
+    return granters.size() == 1 ? granters[0] : -1;
+}
+
+/** The longest time for which nobody could grant on the shard. */
+absl::Duration longestGap(ownership_fleet &fleet, int shard, absl::Duration duration)
+{
+    const absl::Duration step = absl::Milliseconds(50);
+    absl::Duration gap;
+    absl::Duration longest;
+    for (absl::Duration passed; passed < duration; passed += step) {
+        fleet.run(step);
+        gap = fleet.granters(shard).empty() ? gap + step : absl::ZeroDuration();
+        longest = std::max(longest, gap);
+    }
+    return longest;
+}
+
+} // namespace
+
+SCENARIO("an owner fails and another scheduler takes over")
+{
+    ownership_fleet fleet(nodes, shards, 1);
+    fleet.run(start);
+    REQUIRE(fleet.isSettled());
+    const int owner = ownerOf(fleet, 0);
+    const std::int64_t epoch = fleet.epochOf(owner, 0);
+
+    WHEN("its process is killed")
+    {
+        fleet.kill(owner);
+        const absl::Duration gap = longestGap(fleet, 0, absl::Seconds(8));
+
+        THEN("one successor with a higher epoch owns the shard within lease and rank delays")
+        {
+            CHECK(gap <= absl::Seconds(4) + nodes * absl::Milliseconds(250) + absl::Seconds(1));
+            const int successor = ownerOf(fleet, 0);
+            REQUIRE(successor >= 0);
+            CHECK(successor != owner);
+            CHECK(fleet.epochOf(successor, 0) > epoch);
+            CHECK(fleet.certaintyOf(successor, 0) == ownership_certainty::Succeeding);
+
+            AND_WHEN("the VM list has dropped the dead VM")
+            {
+                fleet.run(absl::Seconds(16));
+                THEN("the successor is certain")
+                {
+                    CHECK(fleet.certaintyOf(successor, 0) == ownership_certainty::Certain);
+                }
+            }
+        }
+    }
+
+    WHEN("it is paused past its lease, and its successor is paused as well")
+    {
+        fleet.pause(owner);
+        fleet.run(absl::Seconds(10));
+        const int successor = ownerOf(fleet, 0);
+        REQUIRE(successor >= 0);
+        fleet.pause(successor);
+        fleet.run(absl::Seconds(10));
+        const int last = ownerOf(fleet, 0);
+        REQUIRE(last >= 0);
+
+        THEN("neither may grant at the moment of its resumption")
+        {
+            fleet.resume(owner);
+            fleet.resume(successor);
+            CHECK(fleet.granters(0) == std::vector<int> {last});
+            fleet.run(absl::Seconds(4));
+            CHECK(fleet.granters(0) == std::vector<int> {last});
+            CHECK(fleet.certaintyOf(last, 0) == ownership_certainty::Certain);
+            CHECK(fleet.violation().empty());
+        }
+    }
+
+    WHEN("it restarts at once")
+    {
+        fleet.restart(owner);
+        fleet.run(absl::Seconds(5));
+        THEN("the shard has a certain owner with a higher epoch")
+        {
+            const int successor = ownerOf(fleet, 0);
+            REQUIRE(successor >= 0);
+            CHECK(fleet.epochOf(successor, 0) > epoch);
+            CHECK(fleet.certaintyOf(successor, 0) == ownership_certainty::Certain);
+            CHECK(fleet.violation().empty());
+        }
+    }
+}
+
+SCENARIO("an owner is cut off")
+{
+    ownership_fleet fleet(nodes, shards, 2);
+    fleet.run(start);
+    const int owner = ownerOf(fleet, 0);
+    REQUIRE(owner >= 0);
+    const std::int64_t epoch = fleet.epochOf(owner, 0);
+
+    WHEN("it does not reach the store for a minute")
+    {
+        fleet.cutStore(owner, true);
+        fleet.run(absl::Minutes(1));
+        THEN("peers renew its lease and it goes on")
+        {
+            CHECK(ownerOf(fleet, 0) == owner);
+            CHECK(fleet.epochOf(owner, 0) == epoch);
+            CHECK(fleet.at(owner).isConnected(fleet.now()));
+            CHECK_FALSE(fleet.at(owner).isStoreReachable(fleet.now()));
+        }
+    }
+
+    WHEN("it reaches neither store nor peers")
+    {
+        fleet.cutStore(owner, true);
+        fleet.partition(1U << owner);
+        fleet.run(absl::Seconds(20));
+        THEN("it is in doubt and its successor grants the other half")
+        {
+            CHECK_FALSE(fleet.at(owner).isConnected(fleet.now()));
+            CHECK(fleet.certaintyOf(owner, 0) == ownership_certainty::InDoubt);
+            REQUIRE(fleet.granters(0).size() == 2);
+            const std::vector<int> granters = fleet.granters(0);
+            const int successor = granters[0] == owner ? granters[1] : granters[0];
+            CHECK(fleet.certaintyOf(successor, 0) == ownership_certainty::Succeeding);
+
+            AND_WHEN("the partition ends")
+            {
+                fleet.heal();
+                fleet.run(absl::Seconds(4));
+                THEN("the successor alone owns the shard without doubt")
+                {
+                    CHECK(ownerOf(fleet, 0) == successor);
+                    CHECK(fleet.certaintyOf(successor, 0) == ownership_certainty::Certain);
+                    CHECK(fleet.violation().empty());
+                }
+            }
+        }
+    }
+}
+
+SCENARIO("the store is down for minutes")
+{
+    ownership_fleet fleet(nodes, shards, 3);
+    fleet.run(start);
+    const int owner = ownerOf(fleet, 0);
+    REQUIRE(owner >= 0);
+    const std::int64_t epoch = fleet.epochOf(owner, 0);
+
+    WHEN("every member is heard of")
+    {
+        fleet.stopStore(true);
+        fleet.run(absl::Seconds(4));
+        THEN("owners go on without doubt, and after it with the same epoch")
+        {
+            CHECK(fleet.isSettled());
+            fleet.run(absl::Minutes(3));
+            CHECK(fleet.isSettled());
+            fleet.stopStore(false);
+            fleet.run(absl::Seconds(10));
+            CHECK(fleet.isSettled());
+            CHECK(fleet.epochOf(owner, 0) == epoch);
+        }
+    }
+
+    WHEN("one member is dead, so that it cannot say whether the store answers it")
+    {
+        fleet.kill((owner + 1) % nodes);
+        fleet.stopStore(true);
+        fleet.run(absl::Seconds(6));
+        THEN("the owner goes on in doubt until the VM list drops the dead one")
+        {
+            CHECK(fleet.certaintyOf(owner, 0) == ownership_certainty::InDoubt);
+            fleet.run(absl::Seconds(6));
+            CHECK(fleet.certaintyOf(owner, 0) == ownership_certainty::Certain);
+        }
+    }
+
+    WHEN("it is slow, so that answers come after their timeout")
+    {
+        fleet.slowStore(absl::Milliseconds(1200));
+        fleet.run(absl::Minutes(2));
+        THEN("the owner goes on")
+        {
+            CHECK(fleet.epochOf(owner, 0) == epoch);
+            fleet.heal();
+            fleet.run(absl::Seconds(5));
+            CHECK(fleet.isSettled());
+            CHECK(fleet.violation().empty());
+        }
+    }
+}
+
+SCENARIO("answers of the store are lost after the writes took effect")
+{
+    ownership_fleet fleet(nodes, shards, 4);
+    for (int node = 0; node < nodes; ++node)
+        fleet.loseAnswers(node, 3);
+    fleet.run(absl::Seconds(20));
+    CHECK(fleet.isSettled());
+
+    WHEN("the answers to takeovers are lost too")
+    {
+        const int owner = ownerOf(fleet, 0);
+        for (int node = 0; node < nodes; ++node) {
+            if (node != owner)
+                fleet.loseAnswers(node, 6);
+        }
+        fleet.kill(owner);
+        fleet.run(absl::Seconds(40));
+        THEN("each shard has one owner")
+        {
+            CHECK(fleet.isSettled());
+            CHECK(fleet.violation().empty());
+        }
+    }
+}
+
+SCENARIO("two takers race with late views")
+{
+    ownership_fleet fleet(nodes, shards, 5);
+    fleet.run(start);
+    const int owner = ownerOf(fleet, 0);
+    for (int node = 0; node < nodes; ++node)
+        fleet.delayViews(node, absl::Milliseconds(400 * node));
+    fleet.kill(owner);
+    fleet.run(absl::Seconds(30));
+    CHECK(fleet.isSettled());
+    CHECK(fleet.violation().empty());
+}
+
+SCENARIO("a scheduler stops as planned")
+{
+    ownership_fleet fleet(nodes, shards, 6);
+    fleet.run(start);
+    const int owner = ownerOf(fleet, 0);
+    const std::int64_t epoch = fleet.epochOf(owner, 0);
+    fleet.stop(owner);
+    const absl::Duration gap = longestGap(fleet, 0, absl::Seconds(3));
+
+    THEN("its shard passes to another one with a higher epoch, almost without a gap")
+    {
+        CHECK(gap <= absl::Milliseconds(200));
+        CHECK(fleet.isStopped(owner));
+        const int successor = ownerOf(fleet, 0);
+        REQUIRE(successor >= 0);
+        CHECK(fleet.epochOf(successor, 0) == epoch + 1);
+        fleet.run(absl::Seconds(3));
+        CHECK(fleet.certaintyOf(successor, 0) == ownership_certainty::Certain);
+        CHECK(fleet.violation().empty());
+    }
+}
+
+SCENARIO("all schedulers are replaced one after another")
+{
+    ownership_fleet fleet(nodes, shards, 7);
+    fleet.run(start);
+    for (int node = 0; node < nodes; ++node) {
+        fleet.stop(node);
+        fleet.run(absl::Seconds(4));
+        CHECK(fleet.isStopped(node));
+        fleet.restart(node);
+        fleet.run(absl::Seconds(4));
+    }
+    CHECK(fleet.isSettled());
+    CHECK(fleet.violation().empty());
+}
+
+SCENARIO("the definition of a shard disappears and comes back")
+{
+    ownership_fleet fleet(nodes, shards, 8);
+    fleet.run(start);
+    const int owner = ownerOf(fleet, 0);
+    fleet.hideShard(0, true);
+    fleet.run(absl::Seconds(1));
+    CHECK(fleet.granters(0).empty());
+    fleet.hideShard(0, false);
+    fleet.run(absl::Seconds(1));
+    CHECK(ownerOf(fleet, 0) == owner);
+}
+
+SCENARIO("the halves of a cold limit never add up to more than the limit")
+{
+    for (int limit = 1; limit < 9; ++limit) {
+        const int doubt = coldShare(ownership_certainty::InDoubt, limit);
+        const int succeeding = coldShare(ownership_certainty::Succeeding, limit);
+        CHECK(doubt + succeeding == limit);
+        CHECK(coldShare(ownership_certainty::Certain, limit) == limit);
+        CHECK(coldShare(ownership_certainty::SucceedingInDoubt, limit) == 0);
+    }
+}
