Race of editors against an oracle; documents that no reader may fail on

Cause: the editor and follower had no test. The race (three editors and followers, answers and requests lost or late, reverting views) compares what each editor was told with the line of heads that the store itself showed. Found by the document fuzz: a number beyond double (1e999) threw past parseJsonWithComments, and a million open brackets exhausted the stack in a copy. Both are faults of the document now; nesting is bounded by 64. Key digests that no key can have and a model listed by two services are faults too.

--- a/modules/configuration/document/document_reader.cpp
+++ b/modules/configuration/document/document_reader.cpp
@@ -141,11 +141,23 @@
     std::vector<json_fault> &m_faults;
 };
 
+bool isDigest(const std::string &text)
+{
+    constexpr std::size_t digestLength = 64;
+    return text.size() == digestLength
+        && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+}
+
 void checkServices(const configuration_document &document, reference_checker &checker)
 {
+    std::set<std::string> models;
     for (std::size_t index = 0; index < document.services.size(); ++index) {
         const service_definition &service = document.services[index];
         const std::string path = "/services/" + std::to_string(index);
+        for (std::size_t model = 0; model < service.models.size(); ++model) {
+            if (!models.insert(service.models[model]).second)
+                checker.note(path + "/models/" + std::to_string(model), "stands twice");
+        }
         const auto kinds = checker.uniqueNames(service.requestKinds, path + "/requestKinds");
         for (std::size_t call = 0; call < service.calls.size(); ++call) {
             const std::string &kind = service.calls[call].requestKind;
@@ -168,8 +180,11 @@
         checker.checkReferences(workspace.services, services, path + "/services");
         checker.checkReferences(workspace.dataCentres, dataCentres, path + "/dataCentres");
         for (std::size_t key = 0; key < workspace.keyDigests.size(); ++key) {
-            if (!digests.insert(workspace.keyDigests[key]).second)
-                checker.note(path + "/keyDigests/" + std::to_string(key), "stands twice");
+            const std::string keyPath = path + "/keyDigests/" + std::to_string(key);
+            if (!isDigest(workspace.keyDigests[key]))
+                checker.note(keyPath, "must be a SHA-256 digest in lower-case hexadecimal digits");
+            else if (!digests.insert(workspace.keyDigests[key]).second)
+                checker.note(keyPath, "stands twice");
         }
     }
 }
--- a/modules/foundation/json/json_reader.cpp
+++ b/modules/foundation/json/json_reader.cpp
@@ -5,6 +5,13 @@
 
 namespace quetzal {
 
+namespace {
+
+/** Copying a deeper document could exhaust the stack. */
+constexpr int deepestNesting = 64;
+
+} // namespace
+
 std::string toText(const std::vector<json_fault> &faults)
 {
     std::string text;
@@ -17,11 +24,22 @@
 {
     constexpr bool throwOnError = true;
     constexpr bool ignoreComments = true;
+    bool tooDeep = false;
+    const auto limitDepth = [&tooDeep](int depth, nlohmann::json::parse_event_t, nlohmann::json &) {
+        tooDeep = tooDeep || depth > deepestNesting;
+        return !tooDeep;
+    };
     try {
-        return {nlohmann::json::parse(text, nullptr, throwOnError, ignoreComments), {}};
+        nlohmann::json document
+            = nlohmann::json::parse(text, limitDepth, throwOnError, ignoreComments);
+        if (tooDeep)
+            return {std::nullopt, {{"", "is nested too deeply"}}};
+        return {std::move(document), {}};
     } catch (const nlohmann::json::parse_error &error) {
         const std::string place = "not valid JSON at byte " + std::to_string(error.byte);
         return {std::nullopt, {{"", place}}};
+    } catch (const nlohmann::json::out_of_range &) {
+        return {std::nullopt, {{"", "not valid JSON: a number is out of range"}}};
     }
 }
 
--- a/modules/foundation/json/json_reader.h
+++ b/modules/foundation/json/json_reader.h
@@ -28,7 +28,7 @@
     std::vector<json_fault> faults;
 };
 
-/** Parses JSON in which // and block comments are allowed. */
+/** Parses JSON, nested at most 64 deep, in which // and block comments are allowed. */
 json_parse_result parseJsonWithComments(std::string_view text);
 
 /**
--- /dev/null
+++ b/tests/configuration/revision_test.cpp
@@ -0,0 +1,366 @@
+#include "fake_store.h"
+#include "sample_documents.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <optional>
+#include <set>
+
+using namespace quetzal;
+
+namespace {
+
+const std::string prefix = "/quetzal/test";
+
+configuration_editor makeEditor(std::int64_t base, const std::string &text,
+                                const std::string &writeId)
+{
+    return configuration_editor(
+        {.keyPrefix = prefix, .writeId = writeId, .baseRevision = base, .text = text});
+}
+
+/** Performs one step of an editor; the result when the change has ended. */
+std::optional<configuration_change_result> perform(configuration_editor &editor, fake_store &store,
+                                                   store_fault fault = store_fault::None)
+{
+    const editor_step step = editor.nextStep();
+    if (const auto *result = std::get_if<configuration_change_result>(&step))
+        return *result;
+    if (const auto *transaction = std::get_if<store_transaction>(&step))
+        editor.onReply(store.perform(*transaction, fault));
+    else
+        editor.onView(store.read(fault));
+    return std::nullopt;
+}
+
+configuration_change_result runToEnd(configuration_editor &editor, fake_store &store)
+{
+    std::optional<configuration_change_result> result;
+    while (!result)
+        result = perform(editor, store);
+    return *result;
+}
+
+configuration_change_result apply(fake_store &store, std::int64_t base, const std::string &text,
+                                  const std::string &writeId)
+{
+    configuration_editor editor = makeEditor(base, text, writeId);
+    return runToEnd(editor, store);
+}
+
+/** The documents that racing editors write: several chunks, some of them in common. */
+const std::vector<std::string> &raceTexts()
+{
+    static const std::vector<std::string> texts {
+        toCanonicalJson(sampleDocument(600, 1.0)), toCanonicalJson(sampleDocument(600, 2.0)),
+        toCanonicalJson(sampleDocument(3, 1.0)), toCanonicalJson(sampleDocument(3, 2.0))};
+    return texts;
+}
+
+/** The accepted revisions as the store itself shows them, against what editors were told. */
+class acceptance_oracle
+{
+public:
+    /** Notes the head after each change of the store and checks that its chunks are whole. */
+    void observe(const store_view &view)
+    {
+        const configuration_keys keys {prefix};
+        const auto record = view.records.find(keys.head());
+        if (record == view.records.end())
+            return;
+        const auto head = readHead(record->second.value);
+        RC_ASSERT(head.has_value());
+        if (!m_line.empty() && head->writeId == m_line.back())
+            return;
+        m_line.push_back(head->writeId);
+        RC_ASSERT(head->revision == static_cast<std::int64_t>(m_line.size()));
+        const auto text = joinChunks(*head, keys, view);
+        RC_ASSERT(text.has_value());
+        RC_ASSERT(sha256Hex(*text) == head->digest);
+    }
+
+    void told(const std::string &writeId, const configuration_change_result &result)
+    {
+        m_told[writeId] = result;
+    }
+
+    void check() const
+    {
+        for (const auto &[writeId, result] : m_told) {
+            const auto times = std::count(m_line.begin(), m_line.end(), writeId);
+            if (result.code == result_code::Ok) {
+                RC_ASSERT(times == 1);
+                RC_ASSERT(m_line.at(result.revision - 1) == writeId);
+            } else if (result.code != result_code::StoreOutcomeUnknown) {
+                RC_ASSERT(times == 0);
+            }
+        }
+    }
+
+private:
+    std::vector<std::string> m_line;
+    std::map<std::string, configuration_change_result> m_told;
+};
+
+/** Several editors and followers that race over one store. */
+class editor_race
+{
+public:
+    enum class event
+    {
+        Step,
+        StepAnswerLost,
+        StepRequestLost,
+        StepDelayed,
+        ReleaseDelayed,
+        Follow,
+        FollowOldView,
+        TellPeer,
+    };
+
+    void happen(event event, int who)
+    {
+        switch (event) {
+        case event::Step:
+            return step(who, store_fault::None);
+        case event::StepAnswerLost:
+            return step(who, store_fault::AnswerLost);
+        case event::StepRequestLost:
+            return step(who, store_fault::RequestLost);
+        case event::StepDelayed:
+            return step(who, store_fault::Delayed);
+        case event::ReleaseDelayed:
+            m_store.releaseDelayed();
+            return m_oracle.observe(m_store.view());
+        case event::Follow:
+            m_views.push_back(m_store.view());
+            return follow(who, m_views.back());
+        case event::FollowOldView:
+            if (!m_views.empty())
+                follow(who, m_views[who % m_views.size()]);
+            return;
+        case event::TellPeer:
+            return tellPeer(who, (who + 1) % editors);
+        }
+    }
+
+    void finish()
+    {
+        while (m_store.releaseDelayed())
+            m_oracle.observe(m_store.view());
+        m_oracle.check();
+    }
+
+    static constexpr int editors = 3;
+
+private:
+    void step(int who, store_fault fault)
+    {
+        if (!m_editors[who]) {
+            m_writeIds[who] = "write-" + std::to_string(++m_writes);
+            m_editors[who]
+                = makeEditor(m_followers[who].revision(),
+                             raceTexts()[m_writes % raceTexts().size()], m_writeIds[who]);
+        }
+        const auto result = perform(*m_editors[who], m_store, fault);
+        m_oracle.observe(m_store.view());
+        if (!result)
+            return;
+        m_oracle.told(m_writeIds[who], *result);
+        m_editors[who].reset();
+    }
+
+    void follow(int who, const store_view &view)
+    {
+        const std::int64_t before = m_followers[who].revision();
+        m_followers[who].onStoreView(view);
+        RC_ASSERT(m_followers[who].revision() >= before);
+    }
+
+    void tellPeer(int from, int to)
+    {
+        const auto snapshot = m_followers[from].current();
+        if (!snapshot)
+            return;
+        const std::int64_t before = m_followers[to].revision();
+        m_followers[to].onDocument(snapshot->revision, snapshot->digest, snapshot->text);
+        RC_ASSERT(m_followers[to].revision() == std::max(before, snapshot->revision));
+    }
+
+    fake_store m_store;
+    acceptance_oracle m_oracle;
+    std::vector<store_view> m_views;
+    std::vector<std::optional<configuration_editor>> m_editors {editors};
+    std::vector<std::string> m_writeIds {editors};
+    std::vector<configuration_follower> m_followers {editors,
+                                                     configuration_follower({.keyPrefix = prefix})};
+    int m_writes = 0;
+};
+
+} // namespace
+
+SCENARIO("racing editors over a faulty store make one line of revisions")
+{
+    CHECK(rc::check("accepted changes are in the line once, refused ones never", [] {
+        using event = editor_race::event;
+        constexpr double eventsPerSize = 4;
+        const auto events
+            = *rc::gen::scale(eventsPerSize,
+                              rc::gen::container<std::vector<std::pair<event, int>>>(rc::gen::pair(
+                                  rc::gen::weightedElement<event>({{10, event::Step},
+                                                                   {2, event::StepAnswerLost},
+                                                                   {1, event::StepRequestLost},
+                                                                   {4, event::StepDelayed},
+                                                                   {4, event::ReleaseDelayed},
+                                                                   {3, event::Follow},
+                                                                   {1, event::FollowOldView},
+                                                                   {1, event::TellPeer}}),
+                                  rc::gen::inRange(0, editor_race::editors))));
+        editor_race race;
+        for (const auto &[event, who] : events)
+            race.happen(event, who);
+        race.finish();
+    }));
+}
+
+SCENARIO("a change of the configuration is written")
+{
+    fake_store store;
+    const std::string first = raceTexts()[0];
+    const std::string second = raceTexts()[1];
+    REQUIRE(apply(store, 0, first, "a").code == result_code::Ok);
+
+    WHEN("two operators change the same revision")
+    {
+        const auto winner = apply(store, 1, second, "b");
+        const auto loser = apply(store, 1, first, "c");
+        THEN("the loser learns the winner's revision")
+        {
+            CHECK(winner == configuration_change_result {result_code::Ok, 2, sha256Hex(second)});
+            CHECK(loser.code == result_code::RevisionConflict);
+            CHECK(loser.revision == 2);
+        }
+    }
+    WHEN("the answer to the head's write is lost and another change follows at once")
+    {
+        configuration_editor editor = makeEditor(1, second, "b");
+        while (!std::holds_alternative<store_transaction>(editor.nextStep())
+               || std::get<store_transaction>(editor.nextStep()).puts[0].key
+                   != configuration_keys {prefix}.head())
+            perform(editor, store);
+        perform(editor, store, store_fault::AnswerLost);
+        REQUIRE(apply(store, 2, first, "c").code == result_code::Ok);
+        THEN("the writer finds its change among the earlier writes")
+        {
+            CHECK(runToEnd(editor, store)
+                  == configuration_change_result {result_code::Ok, 2, sha256Hex(second)});
+        }
+    }
+    WHEN("a chunk's write arrives after another change was accepted")
+    {
+        configuration_editor editor = makeEditor(1, second, "b");
+        perform(editor, store);
+        perform(editor, store, store_fault::Delayed);
+        REQUIRE(apply(store, 1, first, "c").code == result_code::Ok);
+        const std::size_t records = store.view().records.size();
+        store.releaseDelayed();
+        THEN("it leaves nothing in the store and the change is told as a conflict")
+        {
+            CHECK(store.view().records.size() == records);
+            CHECK(runToEnd(editor, store).code == result_code::RevisionConflict);
+        }
+    }
+    WHEN("the store stays down before the head was written")
+    {
+        configuration_editor editor = makeEditor(1, second, "b");
+        std::optional<configuration_change_result> result;
+        while (!result)
+            result = perform(editor, store, store_fault::RequestLost);
+        THEN("the change is told as not made")
+        {
+            CHECK(result->code == result_code::StoreUnavailable);
+        }
+    }
+    WHEN("many changes are made")
+    {
+        for (int revision = 1; revision < 20; ++revision)
+            apply(store, revision, toCanonicalJson(sampleDocument(600, revision)),
+                  std::to_string(revision));
+        THEN("only the chunks of the last two heads remain")
+        {
+            const std::size_t perHead = splitIntoChunks(first).size();
+            CHECK(store.view().records.size() <= 1 + 2 * perHead);
+        }
+    }
+}
+
+SCENARIO("a follower takes only whole documents of higher revisions")
+{
+    fake_store store;
+    apply(store, 0, raceTexts()[0], "a");
+    const store_view older = store.view();
+    apply(store, 1, raceTexts()[1], "b");
+    store_view newer = store.view();
+    configuration_follower follower({.keyPrefix = prefix});
+    const configuration_keys keys {prefix};
+
+    SECTION("a view that goes back is ignored")
+    {
+        CHECK(follower.onStoreView(newer) == follower_verdict::Adopted);
+        CHECK(follower.onStoreView(older) == follower_verdict::NotHigher);
+        CHECK(follower.current()->text == raceTexts()[1]);
+        CHECK(follower.current()->findWorkspaceByKeyDigest(sha256Hex("key of town-7"))->name
+              == "town-7");
+        CHECK(follower.current()->findWorkspaceByKeyDigest("") == nullptr);
+    }
+    SECTION("a missing or altered chunk is not adopted")
+    {
+        const auto head = readHead(newer.records[keys.head()].value);
+        newer.records[keys.chunk(head->chunks[0])].value += " ";
+        CHECK(follower.onStoreView(newer) == follower_verdict::DigestWrong);
+        newer.records.erase(keys.chunk(head->chunks[0]));
+        CHECK(follower.onStoreView(newer) == follower_verdict::ChunkMissing);
+        CHECK(follower.current() == nullptr);
+    }
+    SECTION("a malformed head is not adopted")
+    {
+        newer.records[keys.head()].value = "{\"revision\": 1e999}";
+        CHECK(follower.onStoreView(newer) == follower_verdict::HeadMalformed);
+        newer.records.erase(keys.head());
+        CHECK(follower.onStoreView(newer) == follower_verdict::HeadAbsent);
+    }
+    SECTION("a peer's document needs the right digest and no fault")
+    {
+        CHECK(follower.onDocument(1, sha256Hex("x"), "{}") == follower_verdict::DigestWrong);
+        CHECK(follower.onDocument(1, sha256Hex("{}"), "{}") == follower_verdict::DocumentInvalid);
+    }
+}
+
+SCENARIO("a document of 15,000 workspaces changes by few chunks")
+{
+    const std::string before = toCanonicalJson(sampleDocument(15000, 1.0));
+    const std::string after = toCanonicalJson(sampleDocument(15000, 250.5));
+    const auto chunksBefore = splitIntoChunks(before);
+    const auto chunksAfter = splitIntoChunks(after);
+    std::set<std::string> known;
+    std::string joined;
+    for (const document_chunk &chunk : chunksBefore) {
+        known.insert(chunk.digest);
+        joined += chunk.text;
+        CHECK(chunk.text.size() <= largestChunkBytes);
+    }
+    CHECK(joined == before);
+    std::size_t changed = 0;
+    std::size_t changedBytes = 0;
+    for (const document_chunk &chunk : chunksAfter) {
+        if (known.contains(chunk.digest))
+            continue;
+        ++changed;
+        changedBytes += chunk.text.size();
+    }
+    CHECK(changed <= 2);
+    WARN("15,000 workspaces: " << before.size() << " bytes in " << chunksBefore.size()
+                               << " chunks; one changed workspace alters " << changed << " chunks, "
+                               << changedBytes << " bytes");
+}
