Ledger: refill of a home by its writers, bounded memory, stateful test

Cause: totals must survive lost homes, lost owners, repeats, loss and reordering. What: a home that has no account takes the newest total that a writer was told (totalVersion) and counts each writer's part of it (included) once. Lifts travel as levels, so that a lift made without knowledge of the total is taken back when the total is learned. Ended writers are folded after 30 s. Ruled out: the largest known total without versions (refunds made it too high; falsified by rapidcheck), keeping stale accounts when homes move (falsified; ledger_home::retain drops them). Interface (additive): ledger_line::totalVersion travels both ways; ledger_home::retain(isHome) when the members change; fair_order::backlogged(). Seen to fail without its mechanism: acknowledged sequence, recognised part, folding, refill on a new incarnation (properties); sequence guard, version guard, taking back of a lift, own charge while an answer is on its way (scenarios). Not covered: a home lost together with every writer that knows the total before one has refilled it.

--- a/modules/fairness/ledger/ledger_home.cpp
+++ b/modules/fairness/ledger/ledger_home.cpp
@@ -6,20 +6,24 @@
 
 namespace quetzal {
 
-double ledger_home::account::base() const
+double ledger_home::account::total() const
 {
-    double includedBefore = folded.includedBefore;
+    double sum = folded.charged + earlierTotal - folded.recognised;
     for (const auto &[writer, part] : byWriter)
-        includedBefore += part.includedBefore;
-    return folded.charged + std::max(0.0, totalBefore - includedBefore);
+        sum += part.charged - part.recognised;
+    return sum;
 }
 
-double ledger_home::account::total() const
+void ledger_home::account::recognise(contribution &own, const ledger_line &line)
 {
-    double sum = base();
-    for (const auto &[writer, part] : byWriter)
-        sum += part.charged;
-    return sum;
+    if (line.totalVersion == 0)
+        return;
+    own.recognised = line.included;
+    if (line.totalVersion <= earlierVersion)
+        return;
+    earlierTotal = line.totalKnown;
+    earlierVersion = line.totalVersion;
+    totalVersion = std::max(totalVersion, line.totalVersion);
 }
 
 ledger_home::ledger_home(std::int64_t incarnation, ledger_home_options options)
@@ -56,34 +60,34 @@
     state.lastSequence = std::max(state.lastSequence, change.sequence);
     if (!isLate)
         for (const ledger_line &line : change.lines)
-            takeLine(change, writer, line);
+            takeLine(change, writer.epoch, line);
     return answer(change, state.lastSequence);
 }
 
-void ledger_home::takeLine(const ledger_change &change, const ledger_writer_name &writer,
-                           const ledger_line &line)
+void ledger_home::takeLine(const ledger_change &change, std::int64_t epoch, const ledger_line &line)
 {
     const auto [place, isNewAccount] = m_accounts.try_emplace({change.service, line.workspace});
     account &entry = place->second;
-    const double totalBefore = entry.total();
+    entry.heard = m_now;
     const auto [part, isNewWriter] = entry.byWriter.try_emplace(change.writer);
     contribution &own = part->second;
-    const double chargedBefore = isNewWriter ? line.included : own.charged;
-    own.epoch = writer.epoch;
-    own.charged = line.charged;
-    if (isNewWriter || change.homeIncarnation != m_incarnation) {
-        own.includedBefore = line.included;
-        entry.totalBefore = std::max(entry.totalBefore, line.totalKnown);
+    const double oldTotal = entry.total();
+    const double oldLift = entry.lift;
+    if (isNewWriter) {
+        entry.recognise(own, line);
+        own.charged = line.included;
     }
+    const double recovered = entry.total() - oldTotal;
+    own.epoch = epoch;
+    own.charged = line.charged;
+
     const double total = entry.total();
-    const double recovered = total - totalBefore - (line.charged - chargedBefore);
     const double level = line.totalKnown + line.charged - line.included + line.lift;
-    const double oldLift = entry.lift;
     entry.lift = isNewAccount ? level - total : std::max(oldLift - recovered, level - total);
-    if (total == totalBefore && entry.lift == oldLift && !isNewWriter)
+    if (total == oldTotal && entry.lift == oldLift && !isNewWriter)
         return;
     entry.version = ++m_version;
-    entry.changed = m_now;
+    ++entry.totalVersion;
 }
 
 ledger_answer ledger_home::answer(const ledger_change &change, std::int64_t acknowledged) const
@@ -104,12 +108,13 @@
         result.lines.push_back({.workspace = place->first.second,
                                 .charged = entry.total(),
                                 .lift = entry.lift,
-                                .included = own->second.charged});
+                                .included = own->second.charged,
+                                .totalVersion = entry.totalVersion});
     }
     return result;
 }
 
-void ledger_home::foldEnded(const key &name, account &entry, absl::Time) const
+void ledger_home::foldEnded(const key &name, account &entry) const
 {
     for (auto place = entry.byWriter.begin(); place != entry.byWriter.end();) {
         const contribution &part = place->second;
@@ -119,17 +124,22 @@
             continue;
         }
         entry.folded.charged += part.charged;
-        entry.folded.includedBefore += part.includedBefore;
+        entry.folded.recognised += part.recognised;
         place = entry.byWriter.erase(place);
     }
 }
 
+void ledger_home::retain(const std::function<bool(const std::string &workspace)> &isHome)
+{
+    std::erase_if(m_accounts, [&](const auto &item) { return !isHome(item.first.second); });
+}
+
 void ledger_home::advance(absl::Time now)
 {
     m_now = now;
     for (auto place = m_accounts.begin(); place != m_accounts.end();) {
-        foldEnded(place->first, place->second, now);
-        const bool isIdle = place->second.changed + m_options.idleExpiry < now;
+        foldEnded(place->first, place->second);
+        const bool isIdle = place->second.heard + m_options.idleExpiry < now;
         place = isIdle ? m_accounts.erase(place) : std::next(place);
     }
     const auto isOld = [&](const auto &item) {
--- a/modules/fairness/ledger/ledger_home.h
+++ b/modules/fairness/ledger/ledger_home.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <utility>
@@ -17,7 +18,7 @@
 {
     /** How long the account of an ended writer is kept apart, for its late messages. */
     absl::Duration foldDelay = absl::Seconds(30);
-    /** How long an account without any change is kept; its writers refill it later. */
+    /** How long an account of which no writer speaks is kept; its writers refill it later. */
     absl::Duration idleExpiry = absl::Minutes(5);
 };
 
@@ -38,6 +39,8 @@
 
     /** Takes a writer's change and returns what the writer does not know yet. */
     ledger_answer onChange(const ledger_change &change);
+    /** Forgets the accounts of which another VM is the home now. */
+    void retain(const std::function<bool(const std::string &workspace)> &isHome);
     /** Folds ended writers and forgets idle accounts; to be called about once a second. */
     void advance(absl::Time now);
 
@@ -54,22 +57,26 @@
     {
         std::int64_t epoch = 0;
         double charged = 0.0;
-        /** The part of charged that was in a total which another home had told. */
-        double includedBefore = 0.0;
+        /** The part of charged that the earlier total includes. */
+        double recognised = 0.0;
     };
     struct account
     {
         std::map<std::string, contribution> byWriter;
-        /** Charges and includedBefore of writers that have been folded. */
+        /** The sums over the writers that have been folded. */
         contribution folded;
-        /** Largest total of an earlier home that a writer has told. */
-        double totalBefore = 0.0;
+        /** The newest total of an earlier home that a writer has told, and its version. */
+        double earlierTotal = 0.0;
+        std::int64_t earlierVersion = 0;
         double lift = 0.0;
+        /** Changes of the total, over all homes that this account has had. */
+        std::int64_t totalVersion = 0;
+        /** The home's version at the last change. */
         std::int64_t version = 0;
-        absl::Time changed;
+        absl::Time heard;
 
-        double base() const;
         double total() const;
+        void recognise(contribution &own, const ledger_line &line);
     };
     struct shard_state
     {
@@ -85,10 +92,9 @@
 
     void noteEpoch(const key &shard, std::int64_t epoch);
     bool isFolded(const key &shard, std::int64_t epoch) const;
-    void takeLine(const ledger_change &change, const ledger_writer_name &writer,
-                  const ledger_line &line);
+    void takeLine(const ledger_change &change, std::int64_t epoch, const ledger_line &line);
     ledger_answer answer(const ledger_change &change, std::int64_t acknowledged) const;
-    void foldEnded(const key &name, account &entry, absl::Time now) const;
+    void foldEnded(const key &name, account &entry) const;
 
     std::int64_t m_incarnation;
     ledger_home_options m_options;
--- a/modules/fairness/ledger/ledger_types.h
+++ b/modules/fairness/ledger/ledger_types.h
@@ -24,6 +24,8 @@
     double lift = 0.0;
     /** The part of the total that is this writer's own charge, as the home had it. */
     double included = 0.0;
+    /** Grows with every change of the total, over all homes: the later of two totals has more. */
+    std::int64_t totalVersion = 0;
 
     bool operator==(const ledger_line &) const = default;
 };
--- a/modules/fairness/ledger/ledger_writer.cpp
+++ b/modules/fairness/ledger/ledger_writer.cpp
@@ -24,6 +24,14 @@
     markChanged(line);
 }
 
+void ledger_writer::noteBacklog(entry &line, bool isBacklogged) const
+{
+    const bool isRefreshDue = m_collects % refreshInterval == 0;
+    if (isBacklogged && (!line.wasBacklogged || isRefreshDue))
+        markChanged(line);
+    line.wasBacklogged = isBacklogged;
+}
+
 void ledger_writer::touch(const std::string &workspace)
 {
     markChanged(m_entries[workspace]);
@@ -38,9 +46,14 @@
 ledger_writer::collect(const fair_order &order,
                        const std::function<std::string(const std::string &workspace)> &homeOf)
 {
+    for (const std::string &workspace : order.backlogged())
+        if (!m_entries.contains(workspace))
+            touch(workspace);
+    ++m_collects;
     std::map<std::string, ledger_change> changes;
     for (auto &[workspace, line] : m_entries) {
         const bool asks = order.isBacklogged(workspace);
+        noteBacklog(line, asks);
         if (line.acknowledged && !asks && !m_homesMoved)
             continue;
         moveTo(line, homeOf(workspace));
@@ -56,7 +69,8 @@
                                 .charged = order.virtualCharged(workspace),
                                 .totalKnown = line.totalKnown,
                                 .lift = line.sentLift,
-                                .included = line.included});
+                                .included = line.included,
+                                .totalVersion = line.totalVersion});
     }
     m_homesMoved = false;
     if (!changes.empty())
@@ -76,7 +90,10 @@
 
 void ledger_writer::startOver(const std::string &home, std::int64_t incarnation)
 {
+    const bool isFirst = m_homes[home].incarnation == 0;
     m_homes[home] = {.incarnation = incarnation};
+    if (isFirst)
+        return;
     for (auto &[workspace, line] : m_entries)
         if (line.home == home)
             markChanged(line);
@@ -110,6 +127,7 @@
         order.setLift(line.workspace, line.lift + level - order.virtualTime(line.workspace));
     known.sentLift = line.lift;
     known.totalKnown = line.charged;
+    known.totalVersion = line.totalVersion;
     known.included = line.included;
 }
 
--- a/modules/fairness/ledger/ledger_writer.h
+++ b/modules/fairness/ledger/ledger_writer.h
@@ -19,11 +19,16 @@
  *
  * Lines carry cumulative values and are repeated until the home acknowledges them, so that loss,
  * repetition and reordering do no harm. Backlogged workspaces are asked about at every collect(),
- * also when nothing has changed here, because other shards may have charged them.
+ * also when nothing has changed here, because other shards may have charged them. The line of a
+ * workspace is sent when it becomes backlogged and again every refreshInterval collects while it
+ * stays so, which keeps its account alive at the home.
  */
 class ledger_writer
 {
 public:
+    /** Calls of collect() after which the line of a backlogged workspace is sent again. */
+    static constexpr std::int64_t refreshInterval = 64;
+
     /** writer is the shard and epoch, as toText(ledger_writer_name); it is never used again. */
     ledger_writer(std::string service, std::string writer);
 
@@ -54,7 +59,9 @@
         /** Sequence of the collect() that first carries the latest change. */
         std::int64_t changedAt = 0;
         bool acknowledged = false;
+        bool wasBacklogged = false;
         double totalKnown = 0.0;
+        std::int64_t totalVersion = 0;
         double included = 0.0;
         double sentLift = 0.0;
     };
@@ -67,6 +74,7 @@
 
     void markChanged(entry &line) const;
     void moveTo(entry &line, std::string home) const;
+    void noteBacklog(entry &line, bool isBacklogged) const;
     void startOver(const std::string &home, std::int64_t incarnation);
     void acknowledge(const std::string &home, std::int64_t sequence);
     void takeLine(const ledger_line &line, fair_order &order);
@@ -74,6 +82,7 @@
     std::string m_service;
     std::string m_writer;
     std::int64_t m_sequence = 0;
+    std::int64_t m_collects = 0;
     bool m_homesMoved = false;
     std::map<std::string, entry> m_entries;
     std::map<std::string, home_state> m_homes;
--- a/modules/fairness/order/fair_order.cpp
+++ b/modules/fairness/order/fair_order.cpp
@@ -128,6 +128,15 @@
     return entry != nullptr && entry->backlogged;
 }
 
+std::vector<std::string> fair_order::backlogged() const
+{
+    std::vector<std::string> names;
+    names.reserve(m_backlogged.size());
+    for (const auto &[virtualTime, name] : m_backlogged)
+        names.emplace_back(name);
+    return names;
+}
+
 double fair_order::systemVirtualTime() const
 {
     return m_backlogged.empty() ? m_lastVirtualTime : m_backlogged.begin()->first;
--- a/modules/fairness/order/fair_order.h
+++ b/modules/fairness/order/fair_order.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace quetzal {
 
@@ -54,6 +55,8 @@
     double lift(const std::string &workspace) const;
     double virtualTime(const std::string &workspace) const;
     bool isBacklogged(const std::string &workspace) const;
+    /** The backlogged workspaces in the order in which next() considers them. */
+    std::vector<std::string> backlogged() const;
     /** The least virtual time of the backlogged; the last one when none is. */
     double systemVirtualTime() const;
 
