--- /dev/null
+++ b/modules/transport/http/connection_pool.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "transport/link/socket_handle.h"
+
+#include <absl/base/thread_annotations.h>
+#include <absl/synchronization/mutex.h>
+#include <httplib.h>
+
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <thread>
+#include <vector>
+
+namespace quetzal {
+
+/** Options of connection_pool. */
+struct connection_pool_options
+{
+    /** Threads at most; each serves one connection at a time. */
+    std::size_t threads = 256;
+    /** Accepted connections that may wait for a thread. */
+    std::size_t mostWaiting = 256;
+
+    bool operator==(const connection_pool_options &) const = default;
+};
+
+/**
+ * Threads that serve connections, started as they are needed.
+ *
+ * Each connection that has to wait for a thread adds one to the value of a semaphore descriptor;
+ * a thread that holds an idle connection may take one and close that connection instead. Beyond
+ * mostWaiting a connection is handed to its function at once on the accepting thread, where
+ * isRefusing() is true.
+ */
+class connection_pool : public httplib::TaskQueue
+{
+public:
+    explicit connection_pool(connection_pool_options options);
+    ~connection_pool() override;
+    connection_pool(const connection_pool &) = delete;
+    connection_pool &operator=(const connection_pool &) = delete;
+
+    void enqueue(std::function<void()> serve) override;
+    /** Serves what waits, then joins the threads. */
+    void shutdown() override;
+
+    /** Readable while a connection waits and an idle one should be closed. */
+    int crowdedDescriptor() const { return m_crowded.descriptor(); }
+    /** Takes one request to close an idle connection; false when another thread was faster. */
+    bool takeCrowded();
+    /** Wakes every thread that holds an idle connection. */
+    void wakeIdle();
+    /** True on the accepting thread while it refuses a connection. */
+    static bool isRefusing();
+
+private:
+    bool hasWork() const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
+    void run();
+    void addCrowded(std::uint64_t amount);
+
+    const connection_pool_options m_options;
+    socket_handle m_crowded;
+    absl::Mutex m_mutex;
+    std::deque<std::function<void()>> m_waiting ABSL_GUARDED_BY(m_mutex);
+    std::vector<std::thread> m_threads ABSL_GUARDED_BY(m_mutex);
+    std::size_t m_free ABSL_GUARDED_BY(m_mutex) = 0;
+    bool m_stopping ABSL_GUARDED_BY(m_mutex) = false;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/transport/http/connection_stream.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <absl/time/time.h>
+#include <httplib.h>
+
+#include <array>
+#include <chrono>
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace quetzal {
+
+/** Limits of one caller's connection. */
+struct connection_limits
+{
+    /** Longest pause between two reads of one request, or for a write to make progress. */
+    absl::Duration progressTimeout = absl::Seconds(5);
+    /** Longest time from the first byte of a request to its last. */
+    absl::Duration requestTimeout = absl::Seconds(30);
+    /** Longest time that an idle connection is kept between requests. */
+    absl::Duration idleTimeout = absl::Seconds(15);
+    /** Most bytes of one request, header and framing included. */
+    std::size_t mostRequestBytes = std::size_t {5} * 1024 * 1024;
+
+    bool operator==(const connection_limits &) const = default;
+};
+
+/**
+ * The server's end of one accepted connection, with limits on time and bytes.
+ *
+ * cpp-httplib limits only single reads; a caller who sends a byte every few seconds would hold a
+ * thread for ever. Bytes that arrive after a request stay buffered for the next one.
+ */
+class connection_stream : public httplib::Stream
+{
+public:
+    /** The descriptor stays the caller's to close. */
+    connection_stream(int descriptor, connection_limits limits);
+
+    /** Starts the limits of the next request. */
+    void beginRequest();
+    /** True when bytes wait that were read together with the previous request. */
+    bool hasBufferedBytes() const { return m_taken < m_filled; }
+    /** False once the caller has closed its end. */
+    bool isPeerConnected() const;
+    /**
+     * True when what follows on the connection can't be trusted to be the start of a request: a
+     * limit was passed, or the request was answered as malformed.
+     */
+    bool mustClose() const { return m_mustClose; }
+
+    bool is_readable() const override; // NOLINT(readability-identifier-naming)
+    bool is_writable() const override; // NOLINT(readability-identifier-naming)
+    ssize_t read(char *data, std::size_t size) override;
+    ssize_t write(const char *data, std::size_t size) override;
+    void get_remote_ip_and_port(std::string &ip, // NOLINT(readability-identifier-naming)
+                                int &port) const override;
+    void get_local_ip_and_port(std::string &ip, // NOLINT(readability-identifier-naming)
+                               int &port) const override;
+    socket_t socket() const override { return m_descriptor; }
+
+private:
+    using clock = std::chrono::steady_clock;
+    static constexpr std::size_t bufferBytes = 4096;
+
+    bool waitFor(short events, clock::duration limit) const;
+    ssize_t fill();
+    void noteStatus(std::string_view answer);
+
+    int m_descriptor;
+    connection_limits m_limits;
+    std::array<char, bufferBytes> m_buffer {};
+    std::size_t m_taken = 0;
+    std::size_t m_filled = 0;
+    std::size_t m_requestBytes = 0;
+    clock::time_point m_requestEnd;
+    bool m_mustClose = false;
+};
+
+} // namespace quetzal
--- a/modules/transport/link/message_network.cpp
+++ b/modules/transport/link/message_network.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
+#include <functional>
 #include <set>
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
@@ -480,7 +481,7 @@
     const auto found = m_connectionsByPeer.find(peer);
     if (found == m_connectionsByPeer.end())
         return 0;
-    const bool dialledIsPreferred = m_options.self < peer;
+    const bool dialledIsPreferred = std::less<> {}(m_options.self, peer);
     std::uint64_t best = 0;
     int bestRank = -1;
     for (const std::uint64_t id : found->second) {
--- a/modules/transport/link/outbox.h
+++ b/modules/transport/link/outbox.h
@@ -9,8 +9,9 @@
 /**
  * Frames that wait to be written to one peer.
  *
- * When the limit is exceeded the oldest frames are dropped; the newest always stays, so that one
- * frame may be larger than the limit.
+ * When the limit is exceeded the oldest frames are dropped. A frame that is larger than the limit
+ * by itself, such as a whole configuration, does not count towards it, and only the newest such
+ * frame is kept; otherwise it would drive out, or be driven out by, every small message.
  */
 class outbox
 {
@@ -28,11 +29,16 @@
     std::size_t clear();
 
     bool empty() const { return m_frames.empty(); }
+    /** Bytes that count towards the limit. */
     std::size_t bytes() const { return m_bytes; }
 
 private:
+    bool isLarge(const std::string &frame) const { return frame.size() > m_mostBytes; }
+    void dropOldest(bool large);
+
     std::deque<std::string> m_frames;
     std::size_t m_bytes = 0;
+    std::size_t m_largeFrames = 0;
     std::size_t m_mostBytes;
 };
 
--- a/tests/telemetry/telemetry_test.cpp
+++ b/tests/telemetry/telemetry_test.cpp
@@ -168,6 +168,7 @@
         constexpr int threadCount = 4;
         constexpr int perThread = 5000;
         std::vector<std::thread> threads;
+        threads.reserve(threadCount);
         for (int index = 0; index < threadCount; ++index) {
             threads.emplace_back([&registry] {
                 for (int round = 0; round < perThread; ++round) {
--- a/tests/transport/message_network_test.cpp
+++ b/tests/transport/message_network_test.cpp
@@ -1,6 +1,7 @@
 #include "foundation/errors/result_code.h"
 #include "protocol/messages/message_codec.h"
 #include "transport/link/frame.h"
+#include "transport/link/outbox.h"
 #include "transport_fixtures.h"
 
 #include <catch2/catch.hpp>
@@ -115,6 +116,38 @@
     }
 }
 
+SCENARIO("Frames that wait for a peer")
+{
+    outbox waiting(100);
+    GIVEN("more small frames than the limit")
+    {
+        std::size_t dropped = 0;
+        for (char name = 'a'; name < 'e'; ++name)
+            dropped += waiting.push(std::string(40, name));
+        THEN("the newest ones stay")
+        {
+            CHECK(dropped == 2);
+            CHECK(waiting.pop() == std::string(40, 'c'));
+            CHECK(waiting.pop() == std::string(40, 'd'));
+            CHECK(waiting.empty());
+        }
+    }
+    GIVEN("frames that are larger than the limit by themselves, between small ones")
+    {
+        waiting.push(std::string(500, 'L'));
+        waiting.push("small");
+        const std::size_t dropped = waiting.push(std::string(600, 'M'));
+        THEN("only the newest large one is kept and the small ones stay")
+        {
+            CHECK(dropped == 1);
+            CHECK(waiting.pop() == "small");
+            CHECK(waiting.pop() == std::string(600, 'M'));
+            CHECK(waiting.empty());
+            CHECK(waiting.bytes() == 0);
+        }
+    }
+}
+
 SCENARIO("Two schedulers that connect to each other at once")
 {
     const endpoint first = freeEndpoint();
