--- a/standins/common/standin_server.cpp
+++ b/standins/common/standin_server.cpp
@@ -41,7 +41,9 @@
 
 void standin_server::start(const std::string &ip, int port)
 {
-    if (!bind_to_port(ip, port))
+    m_port = port;
+    const bool bound = port == 0 ? (m_port = bind_to_any_port(ip)) > 0 : bind_to_port(ip, port);
+    if (!bound)
         throw std::system_error(result_code::AddressInUse, ip + ":" + std::to_string(port));
     ::listen(svr_sock_, backlog);
     m_thread = std::thread([this] { listen_after_bind(); });
--- a/standins/common/standin_server.h
+++ b/standins/common/standin_server.h
@@ -17,8 +17,13 @@
     standin_server();
     ~standin_server() override;
 
-    /** Begins to listen; throws std::system_error with AddressInUse when the port is taken. */
+    /**
+     * Begins to listen; port 0 lets the system choose one. Throws std::system_error with
+     * AddressInUse when the port is taken.
+     */
     void start(const std::string &ip, int port);
+    /** The port in use. */
+    int port() const { return m_port; }
     /** Takes no new connections, waits for the running handlers and ends. */
     void finish();
     /** True once finish() has begun; handlers that wait without an end must look at it. */
@@ -30,6 +35,7 @@
 private:
     bool process_and_close_socket(socket_t socket) override;
 
+    int m_port = 0;
     std::thread m_thread;
     std::atomic<bool> m_finishing = false;
 };
--- a/standins/engine/engine_server.h
+++ b/standins/engine/engine_server.h
@@ -32,6 +32,8 @@
 
     /** Begins to listen; throws std::system_error when the address is taken. */
     void start(const std::string &ip, int port);
+    /** The port in use. */
+    int port() const { return m_server.port(); }
     /** Lets running requests end and stops. */
     void finish();
 
--- /dev/null
+++ b/tests/standins/engine_model_test.cpp
@@ -0,0 +1,155 @@
+#include "standins/engine/engine_model.h"
+
+#include <catch2/catch.hpp>
+
+using namespace quetzal::standins;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+engine_options options(bool startsWarm)
+{
+    engine_options result;
+    result.id = "e1";
+    result.slots = 2;
+    result.coldSlots = 1;
+    result.coldTime = absl::Seconds(5);
+    result.warmAnswers = 2;
+    result.startsWarm = startsWarm;
+    result.mostWaiting = 1;
+    result.tokensPerSecond = 10.0;
+    result.timeToFirstToken = absl::Seconds(1);
+    result.loadLag = absl::Seconds(2);
+    return result;
+}
+
+engine_verdict submit(engine_model &engine, const std::string &id, int tokens, absl::Time now)
+{
+    const engine_verdict verdict = engine.submit(id, "w/" + id, tokens, now);
+    engine.attach(id, now);
+    return verdict;
+}
+
+} // namespace
+
+SCENARIO("a warm engine fills its slots, then queues, then refuses")
+{
+    engine_model engine(options(true), start);
+    REQUIRE(submit(engine, "a", 11, start) == engine_verdict::Accepted);
+    REQUIRE(submit(engine, "b", 21, start) == engine_verdict::Accepted);
+    REQUIRE(submit(engine, "c", 11, start) == engine_verdict::Accepted);
+
+    THEN("a further request is refused and never logged")
+    {
+        CHECK(submit(engine, "d", 1, start) == engine_verdict::Overloaded);
+        CHECK(engine.log().size() == 3);
+        CHECK(engine.counts().peakRunning == 2);
+    }
+
+    WHEN("time passes")
+    {
+        THEN("tokens come at the rate after the time to the first")
+        {
+            CHECK(engine.progress("a", start + absl::Milliseconds(999)).tokensReady == 0);
+            CHECK(engine.progress("a", start + absl::Seconds(1)).tokensReady == 1);
+            CHECK(engine.progress("a", start + absl::Milliseconds(1550)).tokensReady == 6);
+        }
+        THEN("the waiting request starts at the moment when a slot is free")
+        {
+            CHECK(engine.progress("a", start + absl::Seconds(3)).phase == execution_phase::Done);
+            CHECK(engine.progress("c", start + absl::Seconds(3)).tokensReady == 1);
+            CHECK(engine.progress("c", start + absl::Seconds(4)).phase == execution_phase::Done);
+        }
+    }
+
+    WHEN("the load is asked for")
+    {
+        THEN("it is as old as the lag")
+        {
+            CHECK(engine.reportedLoad(start + absl::Seconds(1)) == engine_load {0, 0});
+            CHECK(engine.reportedLoad(start + absl::Seconds(2)) == engine_load {2, 1});
+        }
+    }
+}
+
+SCENARIO("a cold engine falls over when it is given more than it bears")
+{
+    engine_model engine(options(false), start);
+    const std::string instance = engine.instance();
+    REQUIRE(submit(engine, "a", 100, start) == engine_verdict::Accepted);
+
+    WHEN("a second request comes at once")
+    {
+        CHECK(submit(engine, "b", 1, start + absl::Seconds(1)) == engine_verdict::FellOver);
+
+        THEN("everything is lost, the instance is new, and both executions stay in the log")
+        {
+            CHECK(engine.progress("a", start + absl::Seconds(1)).phase == execution_phase::Broken);
+            CHECK(engine.instance() != instance);
+            CHECK(engine.counts().coldLimitExceeded == 1);
+            REQUIRE(engine.log().size() == 2);
+            CHECK(engine.log()[0].phase == execution_phase::Broken);
+            CHECK(engine.log()[1].phase == execution_phase::Broken);
+        }
+    }
+
+    WHEN("it has answered well for long enough")
+    {
+        engine.cancel("a", start);
+        submit(engine, "b", 1, start);
+        submit(engine, "c", 1, start + absl::Seconds(2));
+
+        THEN("it is warm only after the time and the answers")
+        {
+            CHECK(engine.isCold(start + absl::Milliseconds(4999)));
+            CHECK(engine.isCold(start + absl::Seconds(1)));
+            REQUIRE(engine.progress("c", start + absl::Seconds(5)).phase == execution_phase::Done);
+            CHECK_FALSE(engine.isCold(start + absl::Seconds(5)));
+        }
+    }
+
+    WHEN("it waits without answers")
+    {
+        THEN("it stays cold")
+        {
+            CHECK(engine.isCold(start + absl::Seconds(60)));
+        }
+    }
+}
+
+SCENARIO("a request without a connection goes on for a while and can be resumed")
+{
+    engine_model engine(options(true), start);
+    submit(engine, "a", 500, start);
+    engine.detach("a", start + absl::Seconds(2));
+
+    THEN("it is cancelled after the detached time")
+    {
+        CHECK(engine.isResumable("a", start + absl::Milliseconds(11999)));
+        CHECK_FALSE(engine.isResumable("a", start + absl::Seconds(12)));
+        CHECK(engine.log().front().phase == execution_phase::Cancelled);
+    }
+    THEN("a new connection keeps it")
+    {
+        engine.attach("a", start + absl::Seconds(11));
+        CHECK(engine.progress("a", start + absl::Seconds(51)).phase == execution_phase::Done);
+        CHECK(engine.log().front().tokens == 500);
+    }
+    THEN("the same id at the same time is logged as a second execution")
+    {
+        CHECK(engine.submit("a", "w/a", 5, start) == engine_verdict::Duplicate);
+        CHECK(engine.log().size() == 2);
+    }
+}
+
+SCENARIO("orders with an old fencing number")
+{
+    const bool fencing = GENERATE(true, false);
+    engine_options checked = options(true);
+    checked.fencing = fencing;
+    engine_model engine(checked, start);
+    CHECK(engine.order(7, start));
+    CHECK(engine.order(7, start));
+    CHECK(engine.order(6, start) == !fencing);
+}
