Administration logic: validate, diff, apply, promote, data centres, workspaces, status

Request logic without I/O over a store concept and a fleet concept. A promotion that would change a data centre's state is refused unless it says so: else promoting during an outage of a town would send work back there. Found by a test in which every write's answer is lost: the editor repeated a chunk's write instead of reading whether it was there, and gave the change up; it reads back now and goes on while chunks arrive.

--- /dev/null
+++ b/modules/configuration/administration/stored_configuration.cpp
@@ -0,0 +1,31 @@
+#include "configuration/administration/stored_configuration.h"
+
+#include "configuration/revision/configuration_follower.h"
+
+namespace quetzal {
+
+stored_configuration readStored(const std::optional<store_view> &view,
+                                const configuration_keys &keys)
+{
+    stored_configuration result;
+    if (!view) {
+        result.code = result_code::StoreUnavailable;
+        return result;
+    }
+    configuration_follower follower({.keyPrefix = keys.prefix});
+    const follower_verdict verdict = follower.onStoreView(*view);
+    if (verdict == follower_verdict::HeadAbsent)
+        return result;
+    if (verdict != follower_verdict::Adopted) {
+        result.code = result_code::StoredDocumentDamaged;
+        return result;
+    }
+    const auto snapshot = follower.current();
+    return {.code = result_code::Ok,
+            .revision = snapshot->revision,
+            .digest = snapshot->digest,
+            .text = snapshot->text,
+            .document = snapshot->document};
+}
+
+} // namespace quetzal
--- a/modules/configuration/configuration.h
+++ b/modules/configuration/configuration.h
@@ -7,6 +7,7 @@
  * Depends on foundation and on ownership's store types; opens no connection and reads no clock.
  */
 
+#include "configuration/administration/administration_api.h"
 #include "configuration/document/configuration_document.h"
 #include "configuration/document/document_reader.h"
 #include "configuration/revision/configuration_editor.h"
--- a/modules/configuration/revision/configuration_editor.cpp
+++ b/modules/configuration/revision/configuration_editor.cpp
@@ -90,8 +90,10 @@
 void configuration_editor::onReply(const store_reply &reply)
 {
     if (m_phase == phase::WritingChunks) {
-        if (reply.outcome == store_outcome::Unknown)
+        if (reply.outcome == store_outcome::Unknown) {
+            m_phase = phase::ReadingBase;
             return noteUnanswered(result_code::StoreUnavailable);
+        }
         m_unanswered = 0;
         if (reply.outcome == store_outcome::Refused) {
             m_phase = phase::ReadingWinner;
@@ -127,7 +129,6 @@
 
 void configuration_editor::onBaseView(const store_view &view)
 {
-    m_unanswered = 0;
     const head_reading reading = findHead(m_keys, view);
     if (reading.malformed)
         return finish(result_code::StoredDocumentDamaged);
@@ -136,7 +137,10 @@
         return finish(result_code::RevisionConflict, revision,
                       reading.head ? reading.head->digest : std::string());
     m_baseModRevision = reading.modRevision;
+    const std::size_t missingBefore = m_missing.size();
     prepareHead(reading.head, view);
+    if (m_missing.size() < missingBefore)
+        m_unanswered = 0;
     m_phase = m_missing.empty() ? phase::WritingHead : phase::WritingChunks;
 }
 
@@ -174,11 +178,15 @@
     m_head = {.revision = m_options.baseRevision + 1,
               .digest = sha256Hex(m_options.text),
               .writeId = m_options.writeId};
+    m_missing.clear();
+    m_unusedChunks.clear();
     std::set<std::string> used;
     for (const document_chunk &chunk : m_chunks) {
         m_head.chunks.push_back(chunk.digest);
         const bool isNew = used.insert(m_keys.chunk(chunk.digest)).second;
-        if (isNew && !view.records.contains(m_keys.chunk(chunk.digest)))
+        const auto stored = view.records.find(m_keys.chunk(chunk.digest));
+        const bool isStored = stored != view.records.end() && stored->second.value == chunk.text;
+        if (isNew && !isStored)
             m_missing.push_back(chunk);
     }
     if (base) {
--- a/modules/foundation/errors/result_code.h
+++ b/modules/foundation/errors/result_code.h
@@ -49,6 +49,8 @@
     NotFound = 4007,
     RevisionNotInForce = 4008,
     StoredDocumentDamaged = 4009,
+    DigestMismatch = 4010,
+    PromotionChangesDataCentre = 4011,
 
     SettingsInvalid = 5001,
     AddressInUse = 5002,
