--- a/apps/router/http_front.cpp
+++ b/apps/router/http_front.cpp
@@ -86,7 +86,7 @@
                                     .path = request.path,
                                     .body = request.body,
                                     .header = [&request](const std::string &name) {
-                                        return request.get_header_value(name.c_str());
+                                        return request.get_header_value(name);
                                     }};
     auto read = readCallerRequest(parts, *document, generatedId, m_settings.defaultDeadline,
                                   monotonicNow());
--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -82,8 +82,8 @@
     server.set_tcp_nodelay(true);
     front.install(server);
 
-    const bool bound = server.bind_to_port(settings.listen.ip.c_str(), settings.listen.port)
-        && statusServer.bind_to_port(settings.statusListen.ip.c_str(), settings.statusListen.port);
+    const bool bound = server.bind_to_port(settings.listen.ip, settings.listen.port)
+        && statusServer.bind_to_port(settings.statusListen.ip, settings.statusListen.port);
     if (!bound) {
         log.error("the listening address cannot be bound",
                   {{"code", static_cast<std::int64_t>(result_code::AddressInUse)}});
--- a/apps/router/router_process.cpp
+++ b/apps/router/router_process.cpp
@@ -149,10 +149,10 @@
         m_node.advance(now);
         actions = m_node.takeActions();
     }
-    perform(std::move(actions));
+    perform(actions);
 }
 
-void router_process::perform(std::vector<router_action> actions)
+void router_process::perform(const std::vector<router_action> &actions)
 {
     for (const router_action &action : actions) {
         if (const auto *outgoing = std::get_if<outgoing_message>(&action))
--- a/apps/router/router_process.h
+++ b/apps/router/router_process.h
@@ -49,7 +49,7 @@
 
 private:
     void handle(const std::function<void(router_node &, absl::Time)> &event);
-    void perform(std::vector<router_action> actions);
+    void perform(const std::vector<router_action> &actions);
     void deliver(request_id request, request_decision decision, bool last);
     void tick();
     void pollVmList();
--- a/apps/router/target_call.cpp
+++ b/apps/router/target_call.cpp
@@ -93,7 +93,7 @@
     if (!request.isModel)
         return;
     httplib::Client client = makeClient(request, cancelTimeout);
-    client.Delete(("/v1/requests/" + request.requestId).c_str());
+    client.Delete("/v1/requests/" + request.requestId);
 }
 
 double unitsOfBody(const target_request &request, const std::string &body)
--- a/apps/scheduler/main.cpp
+++ b/apps/scheduler/main.cpp
@@ -55,7 +55,7 @@
     httplib::Server statusServer;
     installStatus(statusServer, process, metrics);
     const bool bound
-        = statusServer.bind_to_port(settings.statusListen.ip.c_str(), settings.statusListen.port);
+        = statusServer.bind_to_port(settings.statusListen.ip, settings.statusListen.port);
     try {
         if (!bound)
             throw std::system_error(make_error_code(result_code::AddressInUse));
