Fuzzing of the composed nodes: routers, schedulers, targets and a store in one thread

Oracle: every request has one end; told not run means it never ran; told answered means it ran whole; a request that may run once never ran twice; no free slot beside waiting work for 3 s once faults are over.

--- /dev/null
+++ b/tests/fleet/fleet_fuzz_test.cpp
@@ -0,0 +1,59 @@
+#include "fleet/fault_script.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+
+using namespace quetzal;
+
+namespace {
+
+rc::Gen<fault> anyFault()
+{
+    constexpr int mostSubjects = 12;
+    return rc::gen::build<fault>(
+        rc::gen::set(&fault::kind,
+                     rc::gen::map(rc::gen::inRange(0, static_cast<int>(fault_kind::Count)),
+                                  [](int kind) { return static_cast<fault_kind>(kind); })),
+        rc::gen::set(&fault::subject, rc::gen::inRange(0, mostSubjects)),
+        rc::gen::set(&fault::pause, rc::gen::inRange(0, 30)),
+        rc::gen::set(&fault::length, rc::gen::inRange(1, 80)));
+}
+
+/** The longest time that a free slot may stand beside waiting work once all faults are over. */
+constexpr absl::Duration detectionTime = absl::Seconds(3);
+/** How long after the last fault the fleet may take to settle. */
+constexpr absl::Duration settlingTime = absl::Seconds(15);
+
+void checkScript(const fleet_options &options, const std::vector<fault> &faults)
+{
+    fleet_model fleet(options);
+    fleet.run(absl::Seconds(12));
+    fault_script(fleet, faults).run();
+    fleet.run(settlingTime);
+    fleet.resetIdle();
+    fleet.run(absl::Seconds(10));
+    const absl::Duration idle = fleet.longestIdle();
+    fleet.setGenerating(false);
+    fleet.run(absl::Seconds(60));
+    for (const std::string &violation : violations(fleet))
+        RC_FAIL(violation);
+    RC_ASSERT(idle < detectionTime);
+}
+
+} // namespace
+
+TEST_CASE("every request has one true end under any faults")
+{
+    CHECK(rc::check("idempotent requests", [] {
+        const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1000);
+        const auto faults = *rc::gen::container<std::vector<fault>>(anyFault());
+        checkScript({.seed = seed}, faults);
+    }));
+    CHECK(rc::check("requests that may run once only", [] {
+        const auto seed = *rc::gen::inRange<std::uint64_t>(0, 1000);
+        const auto faults = *rc::gen::container<std::vector<fault>>(anyFault());
+        checkScript({.idempotent = false, .answeredRequests = true, .seed = seed}, faults);
+    }));
+}
--- /dev/null
+++ b/tests/fleet/fleet_model.cpp
@@ -0,0 +1,593 @@
+#include "fleet/fleet_model.h"
+
+#include "configuration/document/document_reader.h"
+#include "configuration/revision/configuration_head.h"
+#include "foundation/errors/precondition.h"
+#include "foundation/hashing/stable_hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzal {
+
+namespace {
+
+constexpr absl::Duration stepLength = absl::Milliseconds(10);
+constexpr absl::Duration storeDelay = absl::Milliseconds(4);
+constexpr absl::Duration viewInterval = absl::Milliseconds(50);
+constexpr absl::Duration loadInterval = absl::Milliseconds(250);
+constexpr absl::Duration listInterval = absl::Milliseconds(500);
+constexpr absl::Duration attemptDelay = absl::Milliseconds(1);
+constexpr double unitsPerSecond = 100.0;
+constexpr double largestCost = 400.0;
+constexpr double meanLogCost = 4.2;
+constexpr char keyPrefix[] = "/quetzal/test";
+constexpr char serviceName[] = "service";
+
+} // namespace
+
+fleet_model::fleet_model(fleet_options options)
+    : m_options(std::move(options))
+    , m_random(m_options.seed)
+{
+    m_routers.resize(m_options.vms);
+    m_schedulers.resize(m_options.vms);
+    for (int dataCentre = 0; dataCentre < m_options.dataCentres; ++dataCentre) {
+        for (int index = 0; index < m_options.targetsPerDataCentre; ++index) {
+            const std::string name = "target-" + std::to_string(m_targets.size());
+            m_targets.emplace_back(
+                fake_target_options {.listing = {.target = name,
+                                                 .address = name,
+                                                 .service = serviceName,
+                                                 .dataCentre = dataCentreName(dataCentre)},
+                                     .slots = m_options.slotsPerTarget,
+                                     .coldSlots = m_options.coldSlots});
+        }
+    }
+    writeConfiguration();
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        startScheduler(vm);
+        startRouter(vm);
+    }
+}
+
+void fleet_model::run(absl::Duration duration)
+{
+    const absl::Time end = m_now + duration;
+    while (m_now < end)
+        step();
+}
+
+void fleet_model::killRouter(int vm)
+{
+    if (!m_routers[vm].node)
+        return;
+    m_routers[vm].node.reset();
+    for (auto &[number, record] : m_requests) {
+        if (record.router == routerKey(vm) && !record.told)
+            record.cut = true;
+    }
+    std::erase_if(m_waiting, [vm](const auto &item) { return item.first.first == vm; });
+}
+
+void fleet_model::startRouter(int vm)
+{
+    process<router_node> &router = m_routers[vm];
+    if (router.node)
+        return;
+    ++router.starts;
+    router.paused = false;
+    router.stopping = false;
+    router.node = std::make_unique<router_node>(
+        router_node_options {.vm = vmName(vm), .incarnation = router.starts});
+    m_lastList = absl::InfinitePast();
+}
+
+void fleet_model::killScheduler(int vm)
+{
+    m_schedulers[vm].node.reset();
+}
+
+void fleet_model::startScheduler(int vm)
+{
+    process<scheduler_node> &scheduler = m_schedulers[vm];
+    if (scheduler.node)
+        return;
+    ++scheduler.starts;
+    scheduler.paused = false;
+    scheduler.stopping = false;
+    scheduler.node = std::make_unique<scheduler_node>(
+        scheduler_node_options {.vm = vmName(vm),
+                                .dataCentre = dataCentreName(vm % m_options.dataCentres),
+                                .incarnation = scheduler.starts,
+                                .keyPrefix = keyPrefix});
+    m_lastList = absl::InfinitePast();
+    m_shownRevision = 0;
+}
+
+void fleet_model::pauseRouter(int vm, bool paused)
+{
+    m_routers[vm].paused = paused;
+}
+
+void fleet_model::pauseScheduler(int vm, bool paused)
+{
+    m_schedulers[vm].paused = paused;
+}
+
+void fleet_model::stopSchedulerGracefully(int vm)
+{
+    if (!m_schedulers[vm].node)
+        return;
+    m_schedulers[vm].stopping = true;
+    m_schedulers[vm].node->beginStop(m_now);
+}
+
+void fleet_model::stopRouterGracefully(int vm)
+{
+    if (!m_routers[vm].node)
+        return;
+    m_routers[vm].stopping = true;
+    m_routers[vm].node->beginStop(m_now);
+}
+
+void fleet_model::setStoreCut(int vm, bool cut)
+{
+    if (cut)
+        m_storeCut.insert(vm);
+    else
+        m_storeCut.erase(vm);
+}
+
+void fleet_model::setNetwork(double loss, double repetition, absl::Duration jitter)
+{
+    m_loss = loss;
+    m_repetition = repetition;
+    m_jitter = jitter;
+}
+
+void fleet_model::killTarget(int target)
+{
+    loseExecutions(m_targets[target].kill());
+}
+
+void fleet_model::restartTarget(int target)
+{
+    loseExecutions(m_targets[target].restart(m_now));
+}
+
+bool fleet_model::setDataCentresOut(std::set<int> dataCentres)
+{
+    if (m_storeDown)
+        return false;
+    m_outDataCentres = std::move(dataCentres);
+    writeConfiguration();
+    return true;
+}
+
+void fleet_model::heal()
+{
+    m_group.clear();
+    m_storeCut.clear();
+    m_storeDown = false;
+    m_vmListFrozen = false;
+    m_loseStoreAnswers = 0;
+    m_lostAnswers.clear();
+    setNetwork(0.0, 0.0, absl::ZeroDuration());
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        pauseRouter(vm, false);
+        pauseScheduler(vm, false);
+        if (m_schedulers[vm].stopping)
+            killScheduler(vm);
+        if (m_routers[vm].stopping)
+            killRouter(vm);
+        startScheduler(vm);
+        startRouter(vm);
+    }
+    for (int target = 0; target < targetCount(); ++target) {
+        m_targets[target].setLeaving(false);
+        if (!m_targets[target].isUp())
+            restartTarget(target);
+    }
+}
+
+std::map<std::string, double> fleet_model::served() const
+{
+    std::map<std::string, double> result;
+    for (const auto &[number, record] : m_requests) {
+        const double unit = m_options.answeredRequests ? 1.0 : record.cost;
+        result[record.workspace] += unit * record.wholeExecutions;
+    }
+    return result;
+}
+
+void fleet_model::resetIdle()
+{
+    m_idleSince = absl::InfiniteFuture();
+    m_longestIdle = absl::ZeroDuration();
+}
+
+int fleet_model::vmIndex(const std::string &vm)
+{
+    return std::stoi(vm.substr(3));
+}
+
+std::string fleet_model::routerKey(int vm) const
+{
+    return vmName(vm) + "/" + std::to_string(m_routers[vm].starts);
+}
+
+std::string fleet_model::documentText() const
+{
+    configuration_document document;
+    document.environment = "test";
+    for (int index = 0; index < m_options.dataCentres; ++index) {
+        const bool out = m_outDataCentres.contains(index);
+        document.dataCentres.push_back(
+            {.name = dataCentreName(index),
+             .state = out ? data_centre_state::Out : data_centre_state::In});
+    }
+    document.services.push_back(
+        {.name = serviceName,
+         .unit = m_options.answeredRequests ? service_unit::AnsweredRequests : service_unit::Tokens,
+         .models = {"model"},
+         .slotsPerTarget = m_options.slotsPerTarget,
+         .coldSlotsPerTarget = m_options.coldSlots,
+         .largestRequest = largestCost});
+    for (std::size_t index = 0; index < m_options.shares.size(); ++index)
+        document.workspaces.push_back({.name = workspaceName(static_cast<int>(index)),
+                                       .share = m_options.shares[index],
+                                       .services = {serviceName}});
+    return toCanonicalJson(document);
+}
+
+void fleet_model::writeConfiguration()
+{
+    const std::string text = documentText();
+    const std::string digest = sha256Hex(text);
+    const configuration_keys keys {.prefix = keyPrefix};
+    const configuration_head head {.revision = ++m_revision,
+                                   .digest = digest,
+                                   .writeId = std::to_string(m_revision),
+                                   .chunks = {digest}};
+    store_transaction transaction;
+    transaction.puts.push_back({.key = keys.chunk(digest), .value = text});
+    transaction.puts.push_back({.key = keys.head(), .value = toJson(head)});
+    m_store.perform(transaction, m_now);
+}
+
+void fleet_model::step()
+{
+    m_now += stepLength;
+    m_store.advance(m_now);
+    pushStoreViews();
+    pushVmList();
+    pushLoads();
+    finishExecutions();
+    if (m_generating)
+        generate();
+    std::vector<timed_call> due;
+    const auto firstLater
+        = std::partition(m_queue.begin(), m_queue.end(),
+                         [this](const timed_call &item) { return item.at <= m_now; });
+    due.assign(std::make_move_iterator(m_queue.begin()), std::make_move_iterator(firstLater));
+    m_queue.erase(m_queue.begin(), firstLater);
+    std::sort(due.begin(), due.end(), [](const timed_call &left, const timed_call &right) {
+        return std::tie(left.at, left.order) < std::tie(right.at, right.order);
+    });
+    for (const timed_call &item : due)
+        item.call();
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        if (m_schedulers[vm].node && !m_schedulers[vm].paused) {
+            m_schedulers[vm].node->advance(m_now);
+            takeSchedulerActions(vm);
+        }
+        if (m_routers[vm].node && !m_routers[vm].paused) {
+            m_routers[vm].node->advance(m_now);
+            takeRouterActions(vm);
+        }
+    }
+    measureIdle();
+}
+
+void fleet_model::at(absl::Time when, std::function<void()> call)
+{
+    m_queue.push_back({.at = when, .order = ++m_order, .call = std::move(call)});
+}
+
+void fleet_model::sendMessage(const node_id &from, const outgoing_message &outgoing)
+{
+    ++m_messages;
+    const packet content {.from = from, .to = outgoing.to, .content = outgoing.content};
+    const int copies = m_random.uniform() < m_repetition ? 2 : 1;
+    for (int copy = 0; copy < copies; ++copy) {
+        if (m_random.uniform() < m_loss)
+            continue;
+        const absl::Time arrival = m_now + m_options.messageDelay + m_jitter * m_random.uniform();
+        at(arrival, [this, content] { deliver(content); });
+    }
+}
+
+void fleet_model::deliver(const packet &content)
+{
+    const int from = vmIndex(content.from.vm);
+    const int to = vmIndex(content.to.vm);
+    if (isCut(from, to))
+        return;
+    if (content.to.role == node_role::Router) {
+        if (m_routers[to].node && !m_routers[to].paused)
+            m_routers[to].node->onMessage(content.from, content.content, m_now);
+        return;
+    }
+    if (m_schedulers[to].node && !m_schedulers[to].paused)
+        m_schedulers[to].node->onMessage(content.from, content.content, m_now);
+}
+
+bool fleet_model::isCut(int left, int right) const
+{
+    return m_group.contains(left) != m_group.contains(right);
+}
+
+void fleet_model::takeRouterActions(int vm)
+{
+    for (const router_action &action : m_routers[vm].node->takeActions()) {
+        if (const auto *outgoing = std::get_if<outgoing_message>(&action))
+            sendMessage({node_role::Router, vmName(vm)}, *outgoing);
+        else if (const auto *started = std::get_if<dispatch_request>(&action))
+            dispatch(vm, *started);
+        else if (const auto *finished = std::get_if<finish_request>(&action)) {
+            request_record &record
+                = m_requests.at(m_localRequests.at({routerKey(vm), finished->request}));
+            QUETZAL_PRECONDITION(!record.told);
+            record.told = told_result {.code = finished->code, .execution = finished->execution};
+            if (record.executions == 0)
+                --m_waiting[{vm, record.workspace}];
+        }
+    }
+}
+
+void fleet_model::takeSchedulerActions(int vm)
+{
+    for (const scheduler_action &action : m_schedulers[vm].node->takeActions()) {
+        if (const auto *outgoing = std::get_if<outgoing_message>(&action))
+            sendMessage({node_role::Scheduler, vmName(vm)}, *outgoing);
+        else
+            askStore(vm, std::get<store_request>(action));
+    }
+}
+
+void fleet_model::askStore(int vm, const store_request &request)
+{
+    const std::int64_t start = m_schedulers[vm].starts;
+    const auto answer = [this, vm, start](const store_reply &reply) {
+        const bool same = m_schedulers[vm].node && m_schedulers[vm].starts == start;
+        if (same && !m_schedulers[vm].paused)
+            m_schedulers[vm].node->onStoreReply(reply, m_now);
+    };
+    const std::uint64_t id
+        = std::visit([](const auto &alternative) { return alternative.requestId; }, request);
+    at(m_now + storeDelay, [this, vm, request, answer, id] {
+        store_reply reply {.requestId = id};
+        if (!m_storeDown && !m_storeCut.contains(vm)) {
+            reply = m_store.perform(request, m_now);
+            if (m_loseStoreAnswers > 0) {
+                --m_loseStoreAnswers;
+                reply = {.requestId = id};
+            }
+        }
+        at(m_now + storeDelay, [answer, reply] { answer(reply); });
+    });
+}
+
+void fleet_model::pushStoreViews()
+{
+    const bool changed = m_store.view().revision != m_shownRevision;
+    if (m_storeDown || (!changed && m_now - m_lastView < viewInterval))
+        return;
+    m_shownRevision = m_store.view().revision;
+    m_lastView = m_now;
+    const store_view view = m_store.view();
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        if (m_storeCut.contains(vm) || !m_schedulers[vm].node || m_schedulers[vm].paused)
+            continue;
+        m_schedulers[vm].node->onStoreView(view, m_now);
+    }
+}
+
+void fleet_model::pushVmList()
+{
+    if (m_vmListFrozen || m_now - m_lastList < listInterval)
+        return;
+    m_lastList = m_now;
+    std::vector<scheduler_member> members;
+    std::vector<std::string> names;
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        members.push_back(
+            {.vm = vmName(vm), .dataCentre = dataCentreName(vm % m_options.dataCentres)});
+        names.push_back(vmName(vm));
+    }
+    std::vector<target_listing> listings;
+    for (const fake_target &target : m_targets)
+        listings.push_back(target.listing());
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        if (m_schedulers[vm].node && !m_schedulers[vm].paused)
+            m_schedulers[vm].node->setVmList(members, listings, m_now);
+        std::vector<std::string> preferred = names;
+        std::rotate(preferred.begin(), preferred.begin() + vm, preferred.end());
+        if (m_routers[vm].node && !m_routers[vm].paused)
+            m_routers[vm].node->setSchedulers(preferred);
+    }
+}
+
+void fleet_model::pushLoads()
+{
+    if (m_now - m_lastLoads < loadInterval)
+        return;
+    m_lastLoads = m_now;
+    for (fake_target &target : m_targets) {
+        if (!target.isUp())
+            continue;
+        const target_load load = target.load(m_now);
+        for (process<scheduler_node> &scheduler : m_schedulers) {
+            if (scheduler.node && !scheduler.paused)
+                scheduler.node->onLoad(target.listing().target, load, m_now);
+        }
+    }
+}
+
+void fleet_model::generate()
+{
+    for (int vm = 0; vm < m_options.vms; ++vm) {
+        const bool loaded = m_loadedRouters.empty() || m_loadedRouters.contains(vm);
+        const process<router_node> &router = m_routers[vm];
+        if (!loaded || !router.node || router.paused || router.stopping)
+            continue;
+        if (!router.node->configuration() || router.node->isIsolated(m_now))
+            continue;
+        for (std::size_t workspace = 0; workspace < m_options.shares.size(); ++workspace) {
+            const int index = static_cast<int>(workspace);
+            while (m_waiting[{vm, workspaceName(index)}] < m_options.backlog)
+                submit(vm, index);
+        }
+    }
+}
+
+void fleet_model::submit(int vm, int workspace)
+{
+    const std::int64_t number = ++m_lastRequest;
+    const double cost
+        = std::clamp(std::exp(meanLogCost + 0.8 * m_random.normal()), 5.0, largestCost);
+    const double hint = workspace == 0 ? cost * m_options.hintFactor : cost;
+    m_requests[number] = {.workspace = workspaceName(workspace),
+                          .router = routerKey(vm),
+                          .submittedAt = m_now,
+                          .cost = cost,
+                          .idempotent = m_options.idempotent};
+    const auto local = static_cast<request_id>(number);
+    m_localRequests[{routerKey(vm), local}] = number;
+    ++m_waiting[{vm, workspaceName(workspace)}];
+    m_routers[vm].node->submit({.id = local,
+                                .workspace = workspaceName(workspace),
+                                .service = serviceName,
+                                .requestKind = "",
+                                .hint = hint,
+                                .deadline = m_now + m_options.deadline,
+                                .idempotent = m_options.idempotent,
+                                .bytes = 100},
+                               m_now);
+    takeRouterActions(vm);
+}
+
+void fleet_model::dispatch(int vm, const dispatch_request &dispatch)
+{
+    const std::int64_t number = m_localRequests.at({routerKey(vm), dispatch.request});
+    const std::int64_t start = m_routers[vm].starts;
+    at(m_now + attemptDelay,
+       [this, vm, start, dispatch, number] { beginExecution(vm, start, dispatch, number); });
+}
+
+void fleet_model::beginExecution(int vm, std::int64_t start, const dispatch_request &dispatch,
+                                 std::int64_t request)
+{
+    const bool routerAlive = m_routers[vm].node && m_routers[vm].starts == start;
+    if (!routerAlive)
+        return;
+    if (m_routers[vm].paused) {
+        at(m_now + stepLength,
+           [this, vm, start, dispatch, request] { beginExecution(vm, start, dispatch, request); });
+        return;
+    }
+    const auto target
+        = std::find_if(m_targets.begin(), m_targets.end(), [&dispatch](const fake_target &item) {
+              return item.listing().target == dispatch.target;
+          });
+    request_record &record = m_requests.at(request);
+    const absl::Duration length = absl::Seconds(record.cost / unitsPerSecond);
+    const attempt_result begun = target->begin({.request = request,
+                                                .router = routerKey(vm),
+                                                .localRequest = dispatch.request,
+                                                .endsAt = m_now + length,
+                                                .units = record.cost},
+                                               m_now);
+    if (begun.ending != attempt_ending::AnsweredWhole)
+        return endAttempt(vm, start, dispatch.request, begun);
+    if (record.executions++ == 0)
+        --m_waiting[{vm, record.workspace}];
+}
+
+void fleet_model::endAttempt(int vm, std::int64_t start, request_id request,
+                             const attempt_result &result)
+{
+    if (!m_routers[vm].node || m_routers[vm].starts != start)
+        return;
+    if (m_routers[vm].paused) {
+        at(m_now + stepLength,
+           [this, vm, start, request, result] { endAttempt(vm, start, request, result); });
+        return;
+    }
+    m_routers[vm].node->onAttemptEnded(request, result, m_now);
+    takeRouterActions(vm);
+}
+
+void fleet_model::loseExecutions(const std::vector<execution> &lost)
+{
+    for (const execution &item : lost) {
+        const std::size_t slash = item.router.find('/');
+        const int vm = vmIndex(item.router.substr(0, slash));
+        const std::int64_t start = std::stoll(item.router.substr(slash + 1));
+        const attempt_result result {.ending = attempt_ending::LostBeforeAnswer,
+                                     .signal = protocol::target_signal::ConnectionReset};
+        at(m_now,
+           [this, vm, start, item, result] { endAttempt(vm, start, item.localRequest, result); });
+    }
+}
+
+void fleet_model::finishExecutions()
+{
+    for (int index = 0; index < targetCount(); ++index) {
+        fake_target &target = m_targets[index];
+        for (const execution &item : target.finish(m_now)) {
+            ++m_requests.at(item.request).wholeExecutions;
+            const std::size_t slash = item.router.find('/');
+            const int vm = vmIndex(item.router.substr(0, slash));
+            const std::int64_t start = std::stoll(item.router.substr(slash + 1));
+            attempt_result result {.ending = attempt_ending::AnsweredWhole,
+                                   .units = item.units,
+                                   .targetInstance = target.instance()};
+            if (m_lostAnswers[index] > 0) {
+                --m_lostAnswers[index];
+                result = {.ending = attempt_ending::LostBeforeAnswer,
+                          .signal = protocol::target_signal::ConnectionReset};
+            }
+            at(m_now, [this, vm, start, item, result] {
+                endAttempt(vm, start, item.localRequest, result);
+            });
+        }
+    }
+}
+
+void fleet_model::measureIdle()
+{
+    bool waiting = false;
+    for (const process<router_node> &router : m_routers) {
+        const bool able = router.node && !router.paused && !router.node->isIsolated(m_now);
+        waiting = waiting || (able && router.node->status(m_now).waiting > 0);
+    }
+    bool slotFree = false;
+    for (int index = 0; index < targetCount(); ++index) {
+        const fake_target &target = m_targets[index];
+        const int dataCentre = index / m_options.targetsPerDataCentre;
+        const bool usable
+            = target.isUp() && !target.isLeaving() && !m_outDataCentres.contains(dataCentre);
+        slotFree = slotFree || (usable && target.running() < target.slots());
+    }
+    if (!waiting || !slotFree) {
+        m_idleSince = absl::InfiniteFuture();
+        return;
+    }
+    if (m_idleSince == absl::InfiniteFuture())
+        m_idleSince = m_now;
+    m_longestIdle = std::max(m_longestIdle, m_now - m_idleSince);
+}
+
+} // namespace quetzal
