--- a/tests/fleet/fake_target.cpp
+++ b/tests/fleet/fake_target.cpp
@@ -11,6 +11,7 @@
 
 attempt_result fake_target::begin(const execution &work, absl::Time now)
 {
+    m_attempts.emplace_back(now, work.request);
     if (!m_up)
         return {.ending = attempt_ending::NotSent,
                 .signal = protocol::target_signal::ConnectionRefused};
@@ -21,7 +22,6 @@
     if (isCold() && running() >= m_options.coldSlots)
         ++m_coldLimitExceeded;
     m_running.push_back(work);
-    m_log.emplace_back(now, work.request);
     return {.ending = attempt_ending::AnsweredWhole, .targetInstance = instance()};
 }
 
--- a/tests/fleet/fake_target.h
+++ b/tests/fleet/fake_target.h
@@ -22,6 +22,7 @@
     /** Router (its VM and start) that waits for the answer, with its local request id. */
     std::string router;
     request_id localRequest = 0;
+    absl::Time startedAt;
     absl::Time endsAt;
     double units = 0.0;
 
@@ -66,9 +67,11 @@
     const target_listing &listing() const { return m_options.listing; }
     std::string instance() const;
     absl::Time startedAt() const { return m_startedAt; }
-    /** When more than the cold slots were first used since the last start; infinite for never. */
+    /** Requests begun on a cold target that already had as many as it bears. */
     int coldLimitExceeded() const { return m_coldLimitExceeded; }
-    const std::vector<std::pair<absl::Time, std::int64_t>> &log() const { return m_log; }
+    /** Time and request of each attempt to begin, also of those refused. */
+    const std::vector<std::pair<absl::Time, std::int64_t>> &attempts() const { return m_attempts; }
+    const std::vector<execution> &executions() const { return m_running; }
 
 private:
     target_load present(absl::Time now) const;
@@ -82,7 +85,7 @@
     absl::Time m_startedAt = absl::UnixEpoch();
     std::vector<execution> m_running;
     std::deque<std::pair<absl::Time, target_load>> m_loads;
-    std::vector<std::pair<absl::Time, std::int64_t>> m_log;
+    std::vector<std::pair<absl::Time, std::int64_t>> m_attempts;
 };
 
 } // namespace quetzal
--- a/tests/fleet/fleet_model.cpp
+++ b/tests/fleet/fleet_model.cpp
@@ -18,6 +18,7 @@
 constexpr absl::Duration loadInterval = absl::Milliseconds(250);
 constexpr absl::Duration listInterval = absl::Milliseconds(500);
 constexpr absl::Duration attemptDelay = absl::Milliseconds(1);
+constexpr absl::Duration gapInterval = absl::Milliseconds(50);
 constexpr double unitsPerSecond = 100.0;
 constexpr double largestCost = 400.0;
 constexpr double meanLogCost = 4.2;
@@ -194,9 +195,40 @@
 std::map<std::string, double> fleet_model::served() const
 {
     std::map<std::string, double> result;
-    for (const auto &[number, record] : m_requests) {
-        const double unit = m_options.answeredRequests ? 1.0 : record.cost;
-        result[record.workspace] += unit * record.wholeExecutions;
+    for (const auto &[workspace, units] : m_served)
+        result[workspace] = units;
+    return result;
+}
+
+double fleet_model::gap() const
+{
+    const double leastShare = *std::min_element(m_options.shares.begin(), m_options.shares.end());
+    const double largest = m_options.answeredRequests ? 1.0 : largestCost;
+    return m_gap.gap() / (largest / leastShare);
+}
+
+int fleet_model::attemptsSince(int dataCentre, absl::Time since) const
+{
+    int count = 0;
+    for (int index = 0; index < static_cast<int>(m_targets.size()); ++index) {
+        if (index / m_options.targetsPerDataCentre != dataCentre)
+            continue;
+        const auto &attempts = m_targets[index].attempts();
+        count += static_cast<int>(
+            std::count_if(attempts.begin(), attempts.end(),
+                          [since](const auto &item) { return item.first >= since; }));
+    }
+    return count;
+}
+
+std::vector<std::int64_t> fleet_model::revisions() const
+{
+    std::vector<std::int64_t> result;
+    for (const process<router_node> &router : m_routers) {
+        if (!router.node || router.paused)
+            continue;
+        const bool stopped = router.node->isIsolated(m_now);
+        result.push_back(stopped ? 0 : router.node->configurationRevision());
     }
     return result;
 }
@@ -288,6 +320,7 @@
         }
     }
     measureIdle();
+    measureGap();
 }
 
 void fleet_model::at(absl::Time when, std::function<void()> call)
@@ -506,11 +539,14 @@
     const attempt_result begun = target->begin({.request = request,
                                                 .router = routerKey(vm),
                                                 .localRequest = dispatch.request,
+                                                .startedAt = m_now,
                                                 .endsAt = m_now + length,
                                                 .units = record.cost},
                                                m_now);
     if (begun.ending != attempt_ending::AnsweredWhole)
         return endAttempt(vm, start, dispatch.request, begun);
+    if (m_options.answeredRequests)
+        m_served[record.workspace] += 1.0;
     if (record.executions++ == 0)
         --m_waiting[{vm, record.workspace}];
 }
@@ -547,7 +583,9 @@
     for (int index = 0; index < targetCount(); ++index) {
         fake_target &target = m_targets[index];
         for (const execution &item : target.finish(m_now)) {
-            ++m_requests.at(item.request).wholeExecutions;
+            request_record &record = m_requests.at(item.request);
+            ++record.wholeExecutions;
+            m_served[record.workspace] += m_options.answeredRequests ? 0.0 : item.units;
             const std::size_t slash = item.router.find('/');
             const int vm = vmIndex(item.router.substr(0, slash));
             const std::int64_t start = std::stoll(item.router.substr(slash + 1));
@@ -590,4 +628,26 @@
     m_longestIdle = std::max(m_longestIdle, m_now - m_idleSince);
 }
 
+void fleet_model::measureGap()
+{
+    if (m_now - m_lastGap < gapInterval)
+        return;
+    m_lastGap = m_now;
+    std::map<std::string, double> service = m_served;
+    for (const fake_target &target : m_targets) {
+        for (const execution &item : target.executions()) {
+            const absl::Duration elapsed = m_now - item.startedAt;
+            if (!m_options.answeredRequests)
+                service[m_requests.at(item.request).workspace]
+                    += std::min(item.units, absl::ToDoubleSeconds(elapsed) * unitsPerSecond);
+        }
+    }
+    std::map<std::string, double> weighted;
+    for (std::size_t index = 0; index < m_options.shares.size(); ++index) {
+        const std::string name = workspaceName(static_cast<int>(index));
+        weighted[name] = service[name] / m_options.shares[index];
+    }
+    m_gap.observe(weighted);
+}
+
 } // namespace quetzal
--- a/tests/fleet/fleet_model.h
+++ b/tests/fleet/fleet_model.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet/fake_target.h"
+#include "fleet/gap_meter.h"
 #include "foundation/random/random_source.h"
 #include "ownership/fake_store.h"
 #include "routing/node/router_node.h"
@@ -119,6 +120,16 @@
     int targetCount() const { return static_cast<int>(m_targets.size()); }
     /** Units that each workspace has been served so far, whole and partial. */
     std::map<std::string, double> served() const;
+    /** The widest gap of streamed (or, for answered requests, dispatched) service since the last
+     * reset, in largest weighted requests. */
+    double gap() const;
+    void resetGap() { m_gap.reset(); }
+    /** Attempts at targets of a data centre since a time. */
+    int attemptsSince(int dataCentre, absl::Time since) const;
+    /** Revisions in force at the running routers; 0 for one that stopped itself. */
+    std::vector<std::int64_t> revisions() const;
+    std::int64_t acceptedRevision() const { return m_revision; }
+
     /** Longest time that a free slot stood beside waiting work since the last reset. */
     absl::Duration longestIdle() const { return m_longestIdle; }
     void resetIdle();
@@ -175,6 +186,7 @@
     void loseExecutions(const std::vector<execution> &lost);
     void finishExecutions();
     void measureIdle();
+    void measureGap();
 
     fleet_options m_options;
     random_source m_random;
@@ -208,6 +220,9 @@
     std::vector<std::pair<absl::Time, int>> m_stepCounts;
     absl::Time m_idleSince = absl::InfiniteFuture();
     absl::Duration m_longestIdle;
+    gap_meter m_gap;
+    std::map<std::string, double> m_served;
+    absl::Time m_lastGap = absl::InfinitePast();
     absl::Time m_lastView = absl::InfinitePast();
     absl::Time m_lastLoads = absl::InfinitePast();
     absl::Time m_lastList = absl::InfinitePast();
--- /dev/null
+++ b/tests/fleet/promise_story_test.cpp
@@ -0,0 +1,266 @@
+#include "fleet/fault_script.h"
+#include "fleet/fleet_model.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace quetzal;
+
+namespace {
+
+constexpr absl::Duration warmUp = absl::Seconds(20);
+/** The time within which new work must end after a data centre or target begins to leave. */
+constexpr absl::Duration noticeTime = absl::Seconds(3);
+/** The longest time that a free slot may stand beside waiting work after a fault. */
+constexpr absl::Duration detectionTime = absl::Seconds(8);
+
+int coldLimitExceeded(const fleet_model &fleet)
+{
+    int total = 0;
+    for (const fake_target &target : fleet.targets())
+        total += target.coldLimitExceeded();
+    return total;
+}
+
+} // namespace
+
+SCENARIO("a data centre that was taken out receives no new work after three seconds")
+{
+    fleet_model fleet({});
+    fleet.run(warmUp);
+    bool isOut = true;
+
+    SECTION("nothing fails")
+    {
+        fleet.setDataCentresOut({1});
+    }
+    SECTION("the store goes down right after it accepted the change")
+    {
+        fleet.setDataCentresOut({1});
+        fleet.run(absl::Milliseconds(100));
+        fleet.setStoreDown(true);
+    }
+    SECTION("a VM is cut off from the others and from the store")
+    {
+        fleet.partition({2});
+        fleet.setStoreCut(2, true);
+        fleet.setDataCentresOut({1});
+    }
+    SECTION("a VM's scheduler is killed")
+    {
+        fleet.killScheduler(1);
+        fleet.setDataCentresOut({1});
+    }
+    SECTION("a router is paused meanwhile and resumed")
+    {
+        fleet.pauseRouter(2, true);
+        fleet.setDataCentresOut({1});
+        fleet.run(absl::Seconds(6));
+        fleet.pauseRouter(2, false);
+    }
+    SECTION("operators race and the last change brings it back in")
+    {
+        fleet.setDataCentresOut({1});
+        fleet.setDataCentresOut({});
+        isOut = false;
+    }
+    const absl::Time bound = fleet.now() + noticeTime;
+    fleet.run(absl::Seconds(20));
+    const int late = fleet.attemptsSince(1, bound);
+    CHECK((isOut ? late == 0 : late > 0));
+}
+
+SCENARIO("a target that begins to leave receives no new work after three seconds")
+{
+    fleet_model fleet({});
+    fleet.run(warmUp);
+    fleet.freezeVmList(true);
+    fleet.setTargetLeaving(0, true);
+    const absl::Time bound = fleet.now() + noticeTime;
+    fleet.run(absl::Seconds(20));
+    const auto &attempts = fleet.targets()[0].attempts();
+    CHECK(std::none_of(attempts.begin(), attempts.end(),
+                       [bound](const auto &item) { return item.first >= bound; }));
+}
+
+SCENARIO("a cold target never gets more than it bears")
+{
+    fleet_options options;
+    options.slotsPerTarget = 6;
+    options.coldSlots = 2;
+    fleet_model fleet(options);
+
+    SECTION("all targets start cold")
+    {
+        fleet.run(absl::Seconds(30));
+    }
+    SECTION("a target restarts cold after its process was gone")
+    {
+        fleet.run(warmUp);
+        fleet.killTarget(0);
+        fleet.run(absl::Seconds(5));
+        fleet.restartTarget(0);
+        fleet.run(absl::Seconds(30));
+    }
+    SECTION("an owner is paused beyond its lease, twice, while targets start cold")
+    {
+        for (int round = 0; round < 2; ++round) {
+            fleet.pauseScheduler(round, true);
+            fleet.killTarget(0);
+            fleet.killTarget(2);
+            fleet.run(absl::Seconds(6));
+            fleet.restartTarget(0);
+            fleet.restartTarget(2);
+            fleet.run(absl::Seconds(2));
+            fleet.pauseScheduler(round, false);
+            fleet.run(absl::Seconds(10));
+        }
+    }
+    SECTION("an owner is cut off from the store only")
+    {
+        fleet.run(warmUp);
+        fleet.setStoreCut(0, true);
+        fleet.killTarget(0);
+        fleet.killTarget(2);
+        fleet.run(absl::Seconds(5));
+        fleet.restartTarget(0);
+        fleet.restartTarget(2);
+        fleet.run(absl::Seconds(30));
+    }
+    SECTION("an owner is cut off from everyone and a successor takes over")
+    {
+        fleet.run(warmUp);
+        fleet.partition({0});
+        fleet.setStoreCut(0, true);
+        fleet.killTarget(0);
+        fleet.killTarget(2);
+        fleet.run(absl::Seconds(4));
+        fleet.restartTarget(0);
+        fleet.restartTarget(2);
+        fleet.run(absl::Seconds(30));
+    }
+    CHECK(coldLimitExceeded(fleet) == 0);
+}
+
+SCENARIO("a warm target that turns cold unannounced is found out by its broken connections")
+{
+    fleet_options options;
+    options.slotsPerTarget = 6;
+    options.coldSlots = 1;
+    fleet_model fleet(options);
+    fleet.run(warmUp);
+    fleet.restartTarget(0);
+    fleet.run(absl::Milliseconds(200));
+    const int unavoidable = coldLimitExceeded(fleet);
+    fleet.run(absl::Seconds(20));
+    CHECK(coldLimitExceeded(fleet) == unavoidable);
+}
+
+SCENARIO("planned stops cut no request and lose none")
+{
+    fleet_model fleet({});
+    fleet.run(warmUp);
+    for (int vm = 0; vm < 3; ++vm) {
+        fleet.stopRouterGracefully(vm);
+        absl::Duration waited;
+        while (!fleet.router(vm)->isFinished() && waited < absl::Minutes(2)) {
+            fleet.run(absl::Milliseconds(100));
+            waited += absl::Milliseconds(100);
+        }
+        CHECK(fleet.router(vm)->isFinished());
+        fleet.killRouter(vm);
+        fleet.stopSchedulerGracefully(vm);
+        waited = absl::ZeroDuration();
+        while (!fleet.scheduler(vm)->isStopped() && waited < absl::Minutes(1)) {
+            fleet.run(absl::Milliseconds(100));
+            waited += absl::Milliseconds(100);
+        }
+        CHECK(fleet.scheduler(vm)->isStopped());
+        fleet.killScheduler(vm);
+        fleet.run(absl::Seconds(2));
+        fleet.startScheduler(vm);
+        fleet.startRouter(vm);
+        fleet.run(absl::Seconds(12));
+    }
+    fleet.setGenerating(false);
+    fleet.run(absl::Minutes(1));
+    CHECK(violations(fleet).empty());
+    int cut = 0;
+    int refusedAfterAcceptance = 0;
+    for (const auto &[number, record] : fleet.requests()) {
+        cut += record.cut ? 1 : 0;
+        const bool late = record.told && record.told->code != result_code::Ok
+            && record.told->code != result_code::DeadlineBeforeDispatch;
+        refusedAfterAcceptance += late ? 1 : 0;
+    }
+    CHECK(cut == 0);
+    CHECK(refusedAfterAcceptance == 0);
+}
+
+SCENARIO("no slot stays free beside waiting work for longer than the detection time")
+{
+    fleet_model fleet({});
+    fleet.run(warmUp);
+    fleet.resetIdle();
+
+    SECTION("requests wait at one router only")
+    {
+        fleet.setLoadedRouters({1});
+        fleet.run(absl::Seconds(30));
+        CHECK(fleet.longestIdle() < absl::Seconds(1));
+    }
+    SECTION("a router dies with grants")
+    {
+        fleet.killRouter(0);
+        fleet.run(absl::Seconds(30));
+    }
+    SECTION("an owner dies")
+    {
+        fleet.killScheduler(0);
+        fleet.run(absl::Seconds(30));
+    }
+    SECTION("messages are lost, repeated and late")
+    {
+        fleet.setNetwork(0.1, 0.1, absl::Milliseconds(50));
+        fleet.run(absl::Seconds(30));
+    }
+    CHECK(fleet.longestIdle() < detectionTime);
+}
+
+SCENARIO("an accepted configuration is in force within three seconds and never reverts")
+{
+    fleet_model fleet({});
+    fleet.run(warmUp);
+    std::vector<std::int64_t> allowed {0};
+
+    SECTION("nothing fails")
+    {
+        allowed.clear();
+    }
+    SECTION("one VM cannot reach the store")
+    {
+        fleet.setStoreCut(1, true);
+        allowed.clear();
+    }
+    SECTION("one VM is cut off from everything")
+    {
+        fleet.partition({1});
+        fleet.setStoreCut(1, true);
+    }
+    fleet.setDataCentresOut({1});
+    allowed.push_back(fleet.acceptedRevision());
+    fleet.run(noticeTime);
+    for (const std::int64_t revision : fleet.revisions())
+        CHECK(std::find(allowed.begin(), allowed.end(), revision) != allowed.end());
+
+    fleet.setStoreDown(true);
+    fleet.killScheduler(0);
+    fleet.killRouter(0);
+    fleet.run(absl::Seconds(2));
+    fleet.startScheduler(0);
+    fleet.startRouter(0);
+    fleet.run(absl::Seconds(15));
+    for (const std::int64_t revision : fleet.revisions())
+        CHECK(std::find(allowed.begin(), allowed.end(), revision) != allowed.end());
+}
