Ledger homes among live schedulers, totals before the first grant, turn offsets for shards

Cause 1: after a shard owner's death the gap rose to 7.2 largest weighted requests (tests/fleet, section 'a shard owner is killed'). The home of some workspaces was the dead VM, still on the VM list, so that the successor saw their totals as 0 and served them first. Homes are now chosen among schedulers heard of within 1.5 s, and a workspace waits up to 0.8 s after a takeover for its total. Cause 2: shards with lagging totals all served the same lagging workspace: the dispatched gap of answered requests was 3 with 2 shards and 5 to 7 with 4. Ruled out: a faster exchange alone (20 ms: still 3). Each workspace now has an order of precedence among the shards, a shard of rank r seeing it r requests further on, and services of answered requests exchange each 50 ms: 2 shards 2.0, 4 shards 3.0. Rank offsets of 0.25 and 0.5 requests were tried: 4 shards 4.0 to 5.0 and 3.0 to 4.0.

--- a/modules/fairness/order/fair_order.cpp
+++ b/modules/fairness/order/fair_order.cpp
@@ -26,10 +26,13 @@
     if (entry.backlogged) {
         m_lastVirtualTime = systemVirtualTime();
         m_backlogged.erase({virtualTimeOf(entry), name});
+        m_turns.erase({virtualTimeOf(entry) + entry.turnOffset, name});
     }
     change(entry);
-    if (entry.backlogged)
-        m_backlogged.emplace(virtualTimeOf(entry), name);
+    if (!entry.backlogged)
+        return;
+    m_backlogged.emplace(virtualTimeOf(entry), name);
+    m_turns.emplace(virtualTimeOf(entry) + entry.turnOffset, name);
 }
 
 void fair_order::setShare(const std::string &workspace, double share)
@@ -38,6 +41,12 @@
     update(workspace, [share](account &entry) { entry.share = share; });
 }
 
+void fair_order::setTurnOffset(const std::string &workspace, double offset)
+{
+    QUETZAL_PRECONDITION(offset >= 0.0);
+    update(workspace, [offset](account &entry) { entry.turnOffset = offset; });
+}
+
 void fair_order::remove(const std::string &workspace)
 {
     if (find(workspace) == nullptr)
@@ -61,7 +70,7 @@
 std::optional<std::string>
 fair_order::next(const std::function<bool(const std::string &)> &isEligible) const
 {
-    for (const auto &[virtualTime, name] : m_backlogged) {
+    for (const auto &[turn, name] : m_turns) {
         std::string workspace(name);
         if (isEligible(workspace))
             return workspace;
--- a/modules/fairness/order/fair_order.h
+++ b/modules/fairness/order/fair_order.h
@@ -30,6 +30,13 @@
 public:
     /** Sets a workspace's share, which must be positive; creates the workspace. */
     void setShare(const std::string &workspace, double share);
+    /**
+     * Makes next() see the workspace's virtual time higher by this offset, which is not negative.
+     *
+     * Shards that give the same workspace different offsets don't all serve it at once when their
+     * totals lag. Lifts and virtualTime() are not affected.
+     */
+    void setTurnOffset(const std::string &workspace, double offset);
     /** Forgets a workspace that the configuration no longer names. */
     void remove(const std::string &workspace);
     /** Says whether the workspace has waiting requests. */
@@ -68,6 +75,7 @@
         double virtualCharged = 0.0;
         double remoteTotal = 0.0;
         double lift = 0.0;
+        double turnOffset = 0.0;
         bool backlogged = false;
     };
     using account_map = absl::node_hash_map<std::string, account>;
@@ -79,8 +87,12 @@
     void update(const std::string &workspace, change_function change);
 
     account_map m_accounts;
+    using index = absl::btree_set<std::pair<double, std::string_view>>;
+
     /** Virtual time and name of each backlogged workspace; the names are keys of m_accounts. */
-    absl::btree_set<std::pair<double, std::string_view>> m_backlogged;
+    index m_backlogged;
+    /** The same with the turn offsets added: the order of next(). */
+    index m_turns;
     double m_lastVirtualTime = 0.0;
 };
 
--- a/modules/scheduling/node/scheduler_node.cpp
+++ b/modules/scheduling/node/scheduler_node.cpp
@@ -34,15 +34,11 @@
 void scheduler_node::setVmList(const std::vector<scheduler_member> &members,
                                const std::vector<target_listing> &targets, absl::Time now)
 {
-    const bool membersChanged = members != m_members;
     m_members = members;
     m_targets = targets;
     m_ownership.setMembers(m_members);
     updateTargets(now);
-    if (!membersChanged)
-        return;
-    for (auto &[name, shard] : m_shards)
-        shard.onHomesMoved();
+    updateHomes(now);
 }
 
 void scheduler_node::onLoad(const std::string &target, const target_load &load, absl::Time now)
@@ -187,6 +183,7 @@
             {.shard = claim.shard,
              .owner = {.vm = claim.vm, .incarnation = claim.incarnation, .epoch = claim.epoch}});
     m_ownership.onPeerHeartbeat(peer, now);
+    m_peersHeard[heartbeat.vm] = now;
     m_peerRevisions[heartbeat.vm] = heartbeat.configurationRevision;
     if (heartbeat.configurationRevision <= m_follower.revision())
         return;
@@ -307,7 +304,13 @@
     std::set<std::string> routers;
     for (const scheduler_member &member : m_members)
         routers.insert(member.vm);
+    std::map<std::string, std::vector<std::string>> shardsByService;
+    for (const shard_definition &definition : m_definitions) {
+        if (current->document.isDataCentreIn(definition.dataCentre))
+            shardsByService[definition.service].push_back(definition.shard);
+    }
     for (auto &[name, shard] : m_shards) {
+        shard.setServiceShards(shardsByService[shard.options().service.name]);
         shard.setTargets(byShard[name], now);
         shard.setRouters(routers);
     }
@@ -392,13 +395,18 @@
 
 void scheduler_node::exchangeLedger(absl::Time now)
 {
-    if (now - m_lastLedger < m_options.ledgerInterval || m_members.empty())
-        return;
-    m_lastLedger = now;
+    updateHomes(now);
     const auto home = [this](const std::string &workspace) {
         return homeOf(workspace);
     };
     for (auto &[name, shard] : m_shards) {
+        const bool answered = shard.options().service.unit == service_unit::AnsweredRequests;
+        const absl::Duration interval
+            = answered ? m_options.answeredLedgerInterval : m_options.ledgerInterval;
+        absl::Time &last = m_lastLedger.try_emplace(name, absl::InfinitePast()).first->second;
+        if (now - last < interval)
+            continue;
+        last = now;
         for (const auto &[vm, change] : shard.collectLedger(home)) {
             if (vm == m_options.vm)
                 shard.onLedgerAnswer(vm, m_ledgerHome.onChange(change));
@@ -462,13 +470,35 @@
     return target.service + "/" + target.dataCentre + "/" + std::to_string(chosen);
 }
 
-std::string scheduler_node::homeOf(const std::string &workspace) const
+std::string scheduler_node::homeOf(const std::string &workspace)
 {
-    const auto heaviest = std::max_element(
-        m_members.begin(), m_members.end(), [&workspace](const auto &left, const auto &right) {
-            return rendezvousWeight(workspace, left.vm) < rendezvousWeight(workspace, right.vm);
+    const auto [found, added] = m_homes.try_emplace(workspace);
+    if (!added)
+        return found->second;
+    found->second = *std::max_element(
+        m_homeCandidates.begin(), m_homeCandidates.end(),
+        [&workspace](const std::string &left, const std::string &right) {
+            return rendezvousWeight(workspace, left) < rendezvousWeight(workspace, right);
         });
-    return heaviest->vm;
+    return found->second;
+}
+
+void scheduler_node::updateHomes(absl::Time now)
+{
+    std::vector<std::string> candidates {m_options.vm};
+    for (const scheduler_member &member : m_members) {
+        const auto heard = m_peersHeard.find(member.vm);
+        const bool live
+            = heard != m_peersHeard.end() && now - heard->second <= m_options.homeTimeout;
+        if (live && member.vm != m_options.vm)
+            candidates.push_back(member.vm);
+    }
+    if (candidates == m_homeCandidates)
+        return;
+    m_homeCandidates = std::move(candidates);
+    m_homes.clear();
+    for (auto &[name, shard] : m_shards)
+        shard.onHomesMoved();
 }
 
 void scheduler_node::send(node_role role, const std::string &vm, message content)
--- a/modules/scheduling/node/scheduler_node.h
+++ b/modules/scheduling/node/scheduler_node.h
@@ -29,7 +29,12 @@
     std::string keyPrefix;
     absl::Duration heartbeatInterval = absl::Milliseconds(250);
     absl::Duration fleetViewInterval = absl::Milliseconds(250);
+    /** Pause between two exchanges of a shard's charges with the homes. */
     absl::Duration ledgerInterval = absl::Milliseconds(200);
+    /** The same for services counted in answered requests, whose costs are known exactly. */
+    absl::Duration answeredLedgerInterval = absl::Milliseconds(50);
+    /** A scheduler that is silent for this long is no home of the ledger. */
+    absl::Duration homeTimeout = absl::Milliseconds(1500);
     /** Shard owners are repeated to every router at least this often. */
     absl::Duration ownersRepeat = absl::Seconds(2);
     /** A router that is silent for this long gets no more fleet views. */
@@ -102,7 +107,8 @@
     void askForRenewal(absl::Time now);
     std::vector<protocol::shard_owner> knownOwners() const;
     std::string shardOf(const target_listing &target) const;
-    std::string homeOf(const std::string &workspace) const;
+    std::string homeOf(const std::string &workspace);
+    void updateHomes(absl::Time now);
     void send(node_role role, const std::string &vm, message content);
 
     scheduler_node_options m_options;
@@ -122,7 +128,11 @@
     std::uint64_t m_relaySequence = 0;
     std::size_t m_relayPeer = 0;
     absl::Time m_lastHeartbeat = absl::InfinitePast();
-    absl::Time m_lastLedger = absl::InfinitePast();
+    std::map<std::string, absl::Time> m_lastLedger;
+    std::map<std::string, absl::Time> m_peersHeard;
+    /** The live schedulers, among which the homes are chosen. */
+    std::vector<std::string> m_homeCandidates;
+    std::map<std::string, std::string> m_homes;
     absl::Time m_lastRelay = absl::InfinitePast();
     std::size_t m_ownersFingerprint = 0;
     bool m_stopping = false;
--- a/modules/scheduling/shard/shard_scheduler.cpp
+++ b/modules/scheduling/shard/shard_scheduler.cpp
@@ -1,6 +1,7 @@
 #include "scheduling/shard/shard_scheduler.h"
 
 #include "foundation/errors/precondition.h"
+#include "foundation/hashing/stable_hash.h"
 
 #include <algorithm>
 #include <optional>
@@ -9,6 +10,9 @@
 
 namespace {
 
+/** Weight of the newest charge in the mean charge of a workspace. */
+constexpr double meanChargeWeight = 0.1;
+
 target_evidence evidenceOf(const protocol::ticket_outcome &outcome)
 {
     switch (outcome.signal) {
@@ -92,6 +96,15 @@
     });
 }
 
+void shard_scheduler::setServiceShards(std::vector<std::string> shards)
+{
+    if (shards == m_serviceShards)
+        return;
+    m_serviceShards = std::move(shards);
+    for (const auto &[workspace, mean] : m_meanCharges)
+        updateTurn(workspace);
+}
+
 void shard_scheduler::setRouters(const std::set<std::string> &routers)
 {
     m_expectedRouters = routers;
@@ -151,7 +164,10 @@
     std::vector<addressed_grant> grants;
     if (!m_dataCentreIn || m_superseded)
         return grants;
-    const auto isEligible = [this](const std::string &workspace) {
+    const bool awaitsTotals = now - m_options.since < m_options.ledgerWait;
+    const auto isEligible = [this, awaitsTotals](const std::string &workspace) {
+        if (awaitsTotals && !m_knownTotals.contains(workspace))
+            return false;
         return !m_excludedWorkspaces.contains(workspace) && m_demand.hasUngranted(workspace);
     };
     while (true) {
@@ -187,12 +203,19 @@
 std::vector<std::pair<std::string, ledger_change>> shard_scheduler::collectLedger(
     const std::function<std::string(const std::string &workspace)> &homeOf)
 {
-    return m_ledger.collect(m_order, homeOf);
+    auto changes = m_ledger.collect(m_order, homeOf);
+    for (const auto &[home, change] : changes) {
+        for (const ledger_line &line : change.lines)
+            m_askedTotals[home].insert(line.workspace);
+    }
+    return changes;
 }
 
 void shard_scheduler::onLedgerAnswer(const std::string &home, const ledger_answer &answer)
 {
     m_ledger.onAnswer(home, answer, m_order);
+    m_knownTotals.merge(m_askedTotals[home]);
+    m_askedTotals.erase(home);
 }
 
 void shard_scheduler::onHomesMoved()
@@ -359,6 +382,16 @@
     m_tickets.erase(ticket);
 }
 
+void shard_scheduler::updateTurn(const std::string &workspace)
+{
+    const std::uint64_t own = rendezvousWeight(workspace, m_options.shard);
+    const auto precedence = std::count_if(
+        m_serviceShards.begin(), m_serviceShards.end(),
+        [&](const std::string &shard) { return rendezvousWeight(workspace, shard) > own; });
+    const double request = m_meanCharges.at(workspace) / m_shares.at(workspace);
+    m_order.setTurnOffset(workspace, static_cast<double>(precedence) * request);
+}
+
 void shard_scheduler::chargeWorkspace(const std::string &workspace, double amount)
 {
     if (amount == 0.0 || !m_shares.contains(workspace))
@@ -451,6 +484,9 @@
                                             .grantedAt = now};
     occupy(target, 1);
     chargeWorkspace(workspace, charged);
+    double &mean = m_meanCharges.try_emplace(workspace, charged).first->second;
+    mean += (charged - mean) * meanChargeWeight;
+    updateTurn(workspace);
     m_demand.addPending(workspace, *router, 1);
 
     addressed_grant result {.router = *router, .content = {}};
--- a/modules/scheduling/shard/shard_scheduler.h
+++ b/modules/scheduling/shard/shard_scheduler.h
@@ -35,6 +35,8 @@
     absl::Duration routerTimeout = absl::Seconds(3);
     /** A grant that no report mentions for this long is revoked, because it may be lost. */
     absl::Duration revocationDelay = absl::Milliseconds(400);
+    /** Longest time after a takeover that a workspace waits for its total from the ledger. */
+    absl::Duration ledgerWait = absl::Milliseconds(800);
     /** How long a target's own count is trusted over the tickets after a doubtful release. */
     absl::Duration doubtDuration = absl::Seconds(10);
 };
@@ -97,6 +99,11 @@
     void setConfiguration(const configuration_document &document);
     /** The targets of this shard by the VM list. */
     void setTargets(const std::vector<target_listing> &listings, absl::Time now);
+    /**
+     * All shards of this service that are in use, this one included. Their order of precedence
+     * differs from workspace to workspace and is the same at every owner.
+     */
+    void setServiceShards(std::vector<std::string> shards);
     /** The routers of the fleet by the VM list. */
     void setRouters(const std::set<std::string> &routers);
     void onLoad(const std::string &target, const target_load &load, absl::Time now);
@@ -167,6 +174,7 @@
     void recountPending(const std::string &router);
     void occupy(const std::string &target, int count);
     void settle(ticket_map::iterator ticket, double finalCharge);
+    void updateTurn(const std::string &workspace);
     void chargeWorkspace(const std::string &workspace, double amount);
     double estimate(const cost_features &features, double units) const;
     double finalCharge(const protocol::ticket_outcome &outcome) const;
@@ -185,7 +193,13 @@
     std::map<std::string, router_state> m_routers;
     std::set<std::string> m_expectedRouters;
     std::map<std::string, double> m_shares;
+    std::vector<std::string> m_serviceShards;
+    /** Mean charge of a workspace's requests at their grant. */
+    std::map<std::string, double> m_meanCharges;
     std::set<std::string> m_excludedWorkspaces;
+    /** Workspaces asked of each home, and those whose totals have been answered. */
+    std::map<std::string, std::set<std::string>> m_askedTotals;
+    std::set<std::string> m_knownTotals;
     ticket_map m_tickets;
     std::int64_t m_lastTicket = 0;
     bool m_dataCentreIn = false;
