--- a/tests/ownership/ownership_fuzz_test.cpp
+++ b/tests/ownership/ownership_fuzz_test.cpp
@@ -34,23 +34,40 @@
     ShowShard,
     Wait,
     Heal,
+    HealAndSettle,
     Count,
 };
 
+/** A number below the bound, whatever the size of the test case. */
+int below(int bound)
+{
+    return *rc::gen::resize(rc::kNominalSize, rc::gen::inRange(0, bound));
+}
+
 /** What a sequence of faults assumes; faults are valid in every state. */
 struct fault_model
 {
     int faults = 0;
 };
 
+/** Longest time from the end of all faults until each shard has one owner without doubt. */
+absl::Duration settlingBound()
+{
+    const shard_ownership_options options = ownership_fleet::options(0, 1);
+    const absl::Duration storeLease = absl::Ceil(options.leaseLifetime, absl::Seconds(1));
+    return storeLease + options.listLag + 2 * options.requestTimeout + nodes * options.rankDelay
+        + options.listLag + options.grantLifetime;
+}
+
 class fault_command : public rc::state::Command<fault_model, ownership_fleet>
 {
 public:
     fault_command()
-        : m_fault(static_cast<fault>(*rc::gen::inRange(0, static_cast<int>(fault::Count))))
-        , m_node(*rc::gen::inRange(0, nodes))
-        , m_amount(*rc::gen::inRange(0, 1 << nodes))
-        , m_after(absl::Milliseconds(50 * *rc::gen::inRange(0, 160)))
+        : m_fault(static_cast<fault>(below(static_cast<int>(fault::Count))))
+        , m_node(below(nodes))
+        , m_atOwner(below(2) == 1)
+        , m_amount(below(1 << nodes))
+        , m_after(absl::Milliseconds(50 * below(160)))
     {
     }
 
@@ -66,23 +83,25 @@
 
     void show(std::ostream &out) const override
     {
-        out << "{" << static_cast<int>(m_fault) << ", node " << m_node << ", " << m_amount << ", "
+        out << "{" << static_cast<int>(m_fault) << ", node " << m_node
+            << (m_atOwner ? " or owner, " : ", ") << m_amount << ", "
             << absl::FormatDuration(m_after) << "}";
     }
 
 private:
     void inject(ownership_fleet &fleet) const
     {
+        const int node = target(fleet);
         const absl::Duration delay = absl::Milliseconds(100 * m_amount);
         switch (m_fault) {
         case fault::Pause:
-            return fleet.pause(m_node);
+            return fleet.pause(node);
         case fault::Resume:
-            return fleet.resume(m_node);
+            return fleet.resume(node);
         case fault::CutStore:
-            return fleet.cutStore(m_node, true);
+            return fleet.cutStore(node, true);
         case fault::JoinStore:
-            return fleet.cutStore(m_node, false);
+            return fleet.cutStore(node, false);
         case fault::Partition:
             return fleet.partition(m_amount);
         case fault::Join:
@@ -94,44 +113,46 @@
         case fault::SlowStore:
             return fleet.slowStore(delay / 4);
         case fault::LoseAnswers:
-            return fleet.loseAnswers(m_node, m_amount % 4);
+            return fleet.loseAnswers(node, m_amount % 4);
         case fault::DelayViews:
-            return fleet.delayViews(m_node, delay);
+            return fleet.delayViews(node, delay);
         case fault::OldView:
-            return fleet.deliverOldView(m_node);
+            return fleet.deliverOldView(node);
         case fault::Restart:
-            return fleet.restart(m_node);
+            return fleet.restart(node);
         case fault::Kill:
-            return fleet.kill(m_node);
+            return fleet.kill(node);
         case fault::Stop:
-            return fleet.stop(m_node);
+            return fleet.stop(node);
         case fault::HideShard:
             return fleet.hideShard(m_amount % shards, true);
         case fault::ShowShard:
             return fleet.hideShard(m_amount % shards, false);
         case fault::Heal:
             return fleet.heal();
+        case fault::HealAndSettle:
+            fleet.heal();
+            return fleet.run(settlingBound());
         case fault::Wait:
         case fault::Count:
             return;
         }
     }
 
+    /** The node that the fault hits: the chosen one, or the owner of one of the shards. */
+    int target(const ownership_fleet &fleet) const
+    {
+        const std::vector<int> owners = fleet.granters(m_amount % shards);
+        return m_atOwner && !owners.empty() ? owners.front() : m_node;
+    }
+
     fault m_fault;
     int m_node;
+    bool m_atOwner;
     int m_amount;
     absl::Duration m_after;
 };
 
-/** Longest time from the end of all faults until each shard has one owner without doubt. */
-absl::Duration settlingBound()
-{
-    const shard_ownership_options options = ownership_fleet::options(0, 1);
-    const absl::Duration storeLease = absl::Ceil(options.leaseLifetime, absl::Seconds(1));
-    return storeLease + options.listLag + 2 * options.requestTimeout + nodes * options.rankDelay
-        + options.listLag + options.grantLifetime;
-}
-
 } // namespace
 
 TEST_CASE("any sequence of faults leaves one owner and never overloads a cold target")
--- /dev/null
+++ b/tests/targets/simulated_target.cpp
@@ -0,0 +1,192 @@
+#include "simulated_target.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+constexpr absl::Duration stepLength = absl::Milliseconds(50);
+constexpr absl::Duration reportInterval = absl::Seconds(1);
+constexpr absl::Duration silenceTimeout = absl::Seconds(2);
+constexpr int shortestServiceMillis = 100;
+constexpr int serviceSpreadMillis = 900;
+
+} // namespace
+
+simulated_target::simulated_target(target_admission_options options, std::uint64_t seed)
+    : m_options(options)
+    , m_random(seed)
+    , m_admission({.target = "engine-1"}, options, m_now)
+    , m_startedAt(m_now)
+{
+}
+
+void simulated_target::run(absl::Duration duration)
+{
+    const absl::Time end = m_now + duration;
+    while (m_now < end && m_violation.empty())
+        step();
+}
+
+void simulated_target::step()
+{
+    m_now += stepLength;
+    while (!m_events.empty() && m_events.begin()->first <= m_now) {
+        const std::function<void()> event = std::move(m_events.begin()->second);
+        m_events.erase(m_events.begin());
+        event();
+        check();
+    }
+    endRequests();
+    startRequests();
+    if (!m_down && m_now >= m_reportedAt + reportInterval)
+        sendReport();
+    check();
+}
+
+void simulated_target::endRequests()
+{
+    for (auto request = m_running.begin(); request != m_running.end();) {
+        const bool timedOut = m_now >= request->startedAt + silenceTimeout;
+        const bool ended = !m_hung && request->instance == m_instance && m_now >= request->endsAt;
+        if (!timedOut && !ended) {
+            ++request;
+            continue;
+        }
+        if (ended)
+            deliverEnd(*request, target_evidence::Answered, true, m_answerDelay);
+        else
+            deliverEnd(*request, target_evidence::Silent, false, absl::ZeroDuration());
+        request = m_running.erase(request);
+    }
+}
+
+void simulated_target::startRequests()
+{
+    while (static_cast<int>(m_running.size()) < limit()) {
+        const absl::Duration service
+            = absl::Milliseconds(shortestServiceMillis + m_random.below(serviceSpreadMillis));
+        const running_request request {m_instance, m_now, m_now + service};
+        if (m_down || m_leaving) {
+            const auto evidence = m_down ? target_evidence::Refused : target_evidence::Leaving;
+            return deliverEnd(request, evidence, !m_down, absl::ZeroDuration());
+        }
+        m_running.push_back(request);
+        const auto present = std::ranges::count(m_running, m_instance, &running_request::instance);
+        if (m_now < m_startedAt + absl::Seconds(1) && m_shown)
+            m_mostOnFresh = std::max(m_mostOnFresh, static_cast<int>(present));
+    }
+}
+
+void simulated_target::sendReport()
+{
+    m_reportedAt = m_now;
+    const target_load load {.instance = instanceName(m_instance),
+                            .running = static_cast<int>(m_running.size()),
+                            .uptime = m_now - m_startedAt,
+                            .leaving = m_leaving};
+    const absl::Duration lag = m_reportLag * (0.5 + 0.5 * m_random.uniform());
+    deliver(lag, [this, load, instance = m_instance] {
+        m_admission.observeLoad(load, m_now);
+        if (instance != m_instance)
+            return;
+        m_shown = true;
+        m_leavingShown |= load.leaving && m_leaving;
+    });
+}
+
+void simulated_target::deliver(absl::Duration delay, std::function<void()> handle)
+{
+    m_events.emplace(m_now + delay, std::move(handle));
+}
+
+void simulated_target::deliverEnd(const running_request &request, target_evidence evidence,
+                                  bool named, absl::Duration delay)
+{
+    const int running = static_cast<int>(m_running.size());
+    deliver(delay, [this, request, evidence, named, running] {
+        const std::string instance = named ? instanceName(request.instance) : "";
+        m_admission.observe({.evidence = evidence,
+                             .instance = instance,
+                             .startedAt = request.startedAt,
+                             .running = running},
+                            m_now);
+        const bool present = named && request.instance == m_instance;
+        const bool connectionLost
+            = evidence == target_evidence::Reset || evidence == target_evidence::Refused;
+        m_shown |= present || connectionLost;
+        if (present && evidence == target_evidence::Answered)
+            ++m_provenAnswers;
+        m_leavingShown |= present && evidence == target_evidence::Leaving && m_leaving;
+    });
+}
+
+void simulated_target::restart(bool resetsConnections)
+{
+    for (const running_request &request : m_running) {
+        if (resetsConnections)
+            deliverEnd(request, target_evidence::Reset, false,
+                       absl::Milliseconds(m_random.below(500)));
+    }
+    if (resetsConnections)
+        m_running.clear();
+    ++m_instance;
+    m_startedAt = m_now;
+    m_shown = false;
+    m_provenAnswers = 0;
+    m_leaving = false;
+    m_leavingShown = false;
+    m_disturbedAt = m_now;
+}
+
+void simulated_target::setDown(bool down)
+{
+    if (std::exchange(m_down, down) && !down)
+        restart(true);
+    m_disturbedAt = m_now;
+}
+
+void simulated_target::setLeaving(bool leaving)
+{
+    m_leaving = leaving;
+    m_leavingShown = false;
+    m_disturbedAt = m_now;
+}
+
+void simulated_target::setListedLeaving(bool leaving)
+{
+    m_admission.observeListing({.target = "engine-1", .leaving = leaving}, m_now);
+    m_disturbedAt = m_now;
+}
+
+int simulated_target::provenLimit() const
+{
+    int limit = m_options.coldLimit;
+    for (int answers = m_provenAnswers - limit; answers >= 0; answers -= limit)
+        limit *= 2;
+    return std::min(limit, m_options.warmLimit);
+}
+
+void simulated_target::check()
+{
+    const int present = limit();
+    if (m_shown && present > provenLimit()) {
+        m_violation
+            = absl::StrCat(absl::FormatDuration(m_now - absl::UnixEpoch()), " limit ", present,
+                           " after ", m_provenAnswers, " answers of ", instanceName(m_instance));
+    }
+    if (m_leavingShown && m_leaving && present > 0)
+        m_violation = "new work after the first sign of leaving";
+    const bool excused = m_down || m_hung || m_leaving || m_admission.listing().leaving
+        || m_now < m_disturbedAt + m_options.listLag;
+    m_idleSince = present > 0 || excused ? absl::InfiniteFuture() : std::min(m_idleSince, m_now);
+    m_longestIdle = std::max(m_longestIdle, std::max(m_now - m_idleSince, absl::ZeroDuration()));
+    if (m_longestIdle > m_options.trialPause + stepLength)
+        m_violation = absl::StrCat("idle for ", absl::FormatDuration(m_longestIdle));
+}
+
+} // namespace quetzal
