--- a/modules/targets/admission/target_admission.cpp
+++ b/modules/targets/admission/target_admission.cpp
@@ -72,7 +72,7 @@
         return;
     switch (observation.evidence) {
     case target_evidence::Answered:
-        return observeAnswer(observation);
+        return observeAnswer(observation, now);
     case target_evidence::Refused:
         m_unreachableSince = now;
         return fallToCold(now);
@@ -144,6 +144,15 @@
     return now - m_reportAt <= m_options.reportLag ? m_running : -1;
 }
 
+bool target_admission::wasLimitInUse(const target_observation &observation, absl::Time now)
+{
+    if (observation.running < 0)
+        return true;
+    if (observation.running >= m_limit)
+        m_fullAt = now;
+    return observation.running >= m_limit || observation.startedAt <= m_fullAt;
+}
+
 bool target_admission::isLeaving() const
 {
     return m_listing.leaving || m_unlisted || m_reportedLeaving
@@ -191,7 +200,8 @@
 
 bool target_admission::hasReturned(const target_load &load, absl::Time now) const
 {
-    return startedLater(load, now) || now > m_reportAt + 2 * m_options.reportLag;
+    const absl::Time lastSign = std::max(m_reportAt, m_instanceSince);
+    return startedLater(load, now) || now > lastSign + 2 * m_options.reportLag;
 }
 
 void target_admission::startInstance(const std::string &instance, absl::Time now)
@@ -217,19 +227,20 @@
 {
     m_limit = m_options.coldLimit;
     m_goodAnswers = 0;
+    m_fullAt = absl::InfinitePast();
     m_answered = false;
     m_fallenAt = now;
     m_suspectedAt = now;
 }
 
-void target_admission::observeAnswer(const target_observation &observation)
+void target_admission::observeAnswer(const target_observation &observation, absl::Time now)
 {
     if (observation.startedAt < (observation.instance.empty() ? m_fallenAt : m_suspectedAt))
         return;
     m_answered = true;
     m_silentInARow = 0;
     m_unreachableSince = absl::InfiniteFuture();
-    if (observation.running >= 0 && observation.running < m_limit)
+    if (!wasLimitInUse(observation, now))
         return;
     ++m_goodAnswers;
     grow();
@@ -260,6 +271,7 @@
         return;
     m_limit = std::min(m_options.warmLimit, doubling ? m_limit * 2 : m_limit + 1);
     m_goodAnswers = 0;
+    m_fullAt = absl::InfinitePast();
 }
 
 } // namespace quetzal
--- a/modules/targets/admission/target_admission.h
+++ b/modules/targets/admission/target_admission.h
@@ -151,7 +151,9 @@
     bool hasReturned(const target_load &load, absl::Time now) const;
     void startInstance(const std::string &instance, absl::Time now);
     void fallToCold(absl::Time now);
-    void observeAnswer(const target_observation &observation);
+    void observeAnswer(const target_observation &observation, absl::Time now);
+    /** True when the answered request ran while the whole limit was in use. */
+    bool wasLimitInUse(const target_observation &observation, absl::Time now);
     void observeReset(const target_observation &observation, absl::Time now);
     void observeOverload(const target_observation &observation, absl::Time now);
     void grow();
@@ -176,6 +178,8 @@
     /** Last fall of the limit, and last one within the present instance. */
     absl::Time m_fallenAt = absl::InfinitePast();
     absl::Time m_suspectedAt = absl::InfinitePast();
+    /** When the whole present limit was last seen in use. */
+    absl::Time m_fullAt = absl::InfinitePast();
     absl::Time m_reducedAt = absl::InfinitePast();
     /** When a refusal said that the target is leaving. */
     absl::Time m_refusedLeavingAt = absl::InfiniteFuture();
