Growth needs a report of the present instance; a restart during a store outage ends grants abruptly

Cause: an engine that is cold for seconds still answers one request at a time well, so growth by answers alone overloads it. Change: no growth before the present instance reported that it is not cold (or did not report within the reports' lag). Change: a takeover from an owner that ended by a restart waits grantLifetime on cold targets.

--- a/modules/ownership/shards/shard_ownership.h
+++ b/modules/ownership/shards/shard_ownership.h
@@ -235,6 +235,8 @@
     std::vector<former_owner> formerOwnersWithoutStop(const std::vector<former_owner> &owners,
                                                       absl::Time now) const;
 
+    /** True when the record's owner ended by a restart and not by doubt, as far as is known. */
+    bool hasEndedAbruptly(const shard_record &record, absl::Time now) const;
     bool isRegistered() const;
     bool holdsLease(absl::Time now) const;
     bool isDoubtFree(absl::Time now) const;
--- a/modules/ownership/shards/shard_ownership_requests.cpp
+++ b/modules/ownership/shards/shard_ownership_requests.cpp
@@ -71,7 +71,9 @@
                      .since = now,
                      .abrupt = stored.record.abrupt,
                      .former = formerStates(stored.record.former, now)};
-    if (held.unstopped().empty() || mayTakeFromDoubt(now))
+    const bool allStopped = held.unstopped().empty();
+    held.abrupt |= allStopped && !held.former.empty();
+    if (allStopped || mayTakeFromDoubt(now))
         m_held[shard] = std::move(held);
 }
 
@@ -116,6 +118,12 @@
     return own == takers.end() ? -1 : static_cast<int>(own - takers.begin());
 }
 
+bool shard_ownership::hasEndedAbruptly(const shard_record &record, absl::Time now) const
+{
+    const former_owner owner {.vm = record.vm, .incarnation = record.incarnation};
+    return !record.vm.empty() && formerOwnersWithoutStop({owner}, now).empty();
+}
+
 store_transaction shard_ownership::acquisition(const shard_definition &definition, absl::Time now)
 {
     const stored_record<shard_record> &stored = m_view.shard(definition.shard);
@@ -127,7 +135,7 @@
                                .incarnation = m_options.incarnation,
                                .epoch = std::max(stored.record.epoch, knownEpoch) + 1,
                                .former = formerOwnersWithoutStop(before, now),
-                               .abrupt = !owner.empty() && m_view.member(owner).modRevision != 0};
+                               .abrupt = hasEndedAbruptly(stored.record, now)};
     store_transaction transaction
         = guardedTransaction(definition.shard, record, stored.modRevision, now);
     if (!owner.empty() && owner != m_options.vm)
--- a/modules/targets/admission/target_admission.cpp
+++ b/modules/targets/admission/target_admission.cpp
@@ -20,6 +20,7 @@
     : m_listing(std::move(listing))
     , m_options(options)
     , m_limit(options.coldLimit)
+    , m_instanceSince(now)
     , m_fallenAt(now)
 {
     QUETZAL_PRECONDITION(options.coldLimit >= 1 && options.warmLimit >= options.coldLimit);
@@ -74,8 +75,9 @@
     case target_evidence::Answered:
         return observeAnswer(observation, now);
     case target_evidence::Refused:
+        observeReset(observation, now);
         m_unreachableSince = now;
-        return fallToCold(now);
+        return;
     case target_evidence::Reset:
         return observeReset(observation, now);
     case target_evidence::Overloaded:
@@ -144,6 +146,12 @@
     return now - m_reportAt <= m_options.reportLag ? m_running : -1;
 }
 
+bool target_admission::mayGrow(absl::Time now) const
+{
+    const bool reported = m_lastUptime >= absl::ZeroDuration();
+    return reported ? !m_reportedCold : now >= m_instanceSince + m_options.reportLag;
+}
+
 bool target_admission::wasLimitInUse(const target_observation &observation, absl::Time now)
 {
     if (observation.running < 0)
@@ -193,6 +201,8 @@
 
 bool target_admission::mayHaveReplaced(const target_load &load, absl::Time now) const
 {
+    if (m_instance.empty())
+        return true;
     const bool startKnown = m_startEstimate != absl::InfiniteFuture();
     return now - load.uptime
         > (startKnown ? m_startEstimate : m_instanceSince - m_options.reportLag);
@@ -240,7 +250,7 @@
     m_answered = true;
     m_silentInARow = 0;
     m_unreachableSince = absl::InfiniteFuture();
-    if (!wasLimitInUse(observation, now))
+    if (!mayGrow(now) || !wasLimitInUse(observation, now))
         return;
     ++m_goodAnswers;
     grow();
@@ -248,6 +258,8 @@
 
 void target_admission::observeReset(const target_observation &observation, absl::Time now)
 {
+    if (m_instance.empty())
+        startInstance("", now);
     const bool failedTrial = !m_answered && observation.startedAt >= m_fallenAt;
     if (failedTrial)
         m_unreachableSince = now;
--- a/modules/targets/admission/target_admission.h
+++ b/modules/targets/admission/target_admission.h
@@ -107,7 +107,8 @@
 /**
  * Decides how many concurrent requests one target may have.
  *
- * Starts at coldLimit; grows only while answers come back well and the limit was in use; falls to
+ * Starts at coldLimit; grows only while answers come back well, the limit was in use and the
+ * present instance has reported that it is not cold (or did not report within reportLag); falls to
  * coldLimit at once on a changed instance, a refused or reset connection, or a load report of a
  * fresh start or of coldness. Load reports never raise the limit, and reports and answers of an
  * instance that was replaced are ignored. Leaving holds from its first sign (listing, own report,
@@ -152,6 +153,8 @@
     void startInstance(const std::string &instance, absl::Time now);
     void fallToCold(absl::Time now);
     void observeAnswer(const target_observation &observation, absl::Time now);
+    /** True when the present instance said that it is not cold, or does not report at all. */
+    bool mayGrow(absl::Time now) const;
     /** True when the answered request ran while the whole limit was in use. */
     bool wasLimitInUse(const target_observation &observation, absl::Time now);
     void observeReset(const target_observation &observation, absl::Time now);
--- a/tests/targets/simulated_target.h
+++ b/tests/targets/simulated_target.h
@@ -34,6 +34,9 @@
     void setListedLeaving(bool leaving);
     /** Delivers every report with this lag. */
     void setReportLag(absl::Duration lag) { m_reportLag = lag; }
+    /** How long an instance bears its cold limit only, and says so. */
+    void setColdTime(absl::Duration time) { m_coldTime = time; }
+    bool isCold() const { return m_now < m_startedAt + m_coldTime; }
     void setAnswerDelay(absl::Duration delay) { m_answerDelay = delay; }
 
     target_admission &admission() { return m_admission; }
@@ -42,6 +45,9 @@
     absl::Time now() const { return m_now; }
     /** The longest time for which a target that was up and not leaving had a limit of 0. */
     absl::Duration longestIdle() const { return m_longestIdle; }
+    /** Answers of the present instance so far, and requests that run at present. */
+    int answered() const { return m_provenAnswers; }
+    int running() const { return static_cast<int>(m_running.size()); }
     /** Most requests that ran at once on an instance within its first second. */
     int mostOnFresh() const { return m_mostOnFresh; }
 
@@ -76,6 +82,7 @@
     absl::Time m_reportedAt = absl::InfinitePast();
     absl::Duration m_reportLag = absl::Milliseconds(500);
     absl::Duration m_answerDelay = absl::Milliseconds(5);
+    absl::Duration m_coldTime;
     bool m_down = false;
     bool m_hung = false;
     bool m_leaving = false;
--- a/tests/targets/target_admission_fuzz_test.cpp
+++ b/tests/targets/target_admission_fuzz_test.cpp
@@ -105,6 +105,7 @@
         const target_admission_options options {.warmLimit = 4 + below(13),
                                                 .coldLimit = 1 + below(3)};
         simulated_target target(options, *rc::gen::arbitrary<std::uint64_t>());
+        target.setColdTime(absl::Seconds(below(8)));
         const disturbance_model model;
         const auto commands = *rc::state::gen::commands(
             model, rc::state::gen::execOneOfWithArgs<disturbance_command>());
