--- a/modules/ownership/lease/lease_keeper.cpp
+++ b/modules/ownership/lease/lease_keeper.cpp
@@ -9,12 +9,15 @@
 {
 }
 
-std::optional<store_request> lease_keeper::advance(std::uint64_t requestId, absl::Time now)
+std::optional<store_request> lease_keeper::advance(std::uint64_t requestId, bool idle,
+                                                   absl::Time now)
 {
     if (m_outstanding != 0 && now >= m_sentAt + m_options.requestTimeout)
         m_outstanding = 0;
     if (m_outstanding != 0 || now < m_sentAt + m_options.renewalInterval)
         return std::nullopt;
+    if (idle && m_lease != 0 && now < m_confirmedAt + m_options.idleRenewalInterval)
+        return std::nullopt;
     m_outstanding = requestId;
     m_sentAt = now;
     if (m_lease != 0)
--- a/modules/ownership/lease/lease_keeper.h
+++ b/modules/ownership/lease/lease_keeper.h
@@ -14,6 +14,8 @@
 {
     absl::Duration lifetime = absl::Seconds(4);
     absl::Duration renewalInterval = absl::Seconds(1);
+    /** Interval while nothing depends on the lease. */
+    absl::Duration idleRenewalInterval = absl::Milliseconds(1500);
     /** How long a request may take before its outcome counts as unknown. */
     absl::Duration requestTimeout = absl::Seconds(1);
     /** Part of the lifetime that is not used, for clocks that run at different rates. */
@@ -32,8 +34,11 @@
 public:
     explicit lease_keeper(lease_keeper_options options);
 
-    /** The request that is due, under the given identifier. */
-    std::optional<store_request> advance(std::uint64_t requestId, absl::Time now);
+    /**
+     * The request that is due, under the given identifier; idle is true while nothing depends on
+     * the lease, so that it is renewed less often.
+     */
+    std::optional<store_request> advance(std::uint64_t requestId, bool idle, absl::Time now);
     /** Takes the answer to one of its requests; false when it is to another request. */
     bool onReply(const store_reply &reply, absl::Time now);
     /** The lease was renewed through a peer by a request sent at this time. */
--- a/modules/ownership/shards/shard_ownership.cpp
+++ b/modules/ownership/shards/shard_ownership.cpp
@@ -24,6 +24,7 @@
     : m_options(std::move(options))
     , m_lease({.lifetime = m_options.leaseLifetime,
                .renewalInterval = m_options.renewalInterval,
+               .idleRenewalInterval = m_options.idleRenewalInterval,
                .requestTimeout = m_options.requestTimeout,
                .clockMargin = m_options.clockMargin})
     , m_peers(m_options.peerSilence)
@@ -146,7 +147,9 @@
 
 bool shard_ownership::wantsRelay(absl::Time now) const
 {
-    const absl::Duration patience = m_options.renewalInterval + m_options.heartbeatDelay / 2;
+    const absl::Duration interval
+        = m_held.empty() ? m_options.idleRenewalInterval : m_options.renewalInterval;
+    const absl::Duration patience = interval + m_options.heartbeatDelay / 2;
     return m_lease.lease() != 0 && now > m_lease.confirmedAt() + patience
         && m_peers.anyWithStore(m_peerVms, now);
 }
--- a/modules/ownership/shards/shard_ownership.h
+++ b/modules/ownership/shards/shard_ownership.h
@@ -105,6 +105,8 @@
     std::string keyPrefix;
     absl::Duration leaseLifetime = absl::Seconds(4);
     absl::Duration renewalInterval = absl::Seconds(1);
+    /** Interval of renewals while no shard is held. */
+    absl::Duration idleRenewalInterval = absl::Milliseconds(1500);
     /** How long a store request may take before its outcome counts as unknown. */
     absl::Duration requestTimeout = absl::Seconds(1);
     /** How long after a takeover the former owner's grants may still be used. */
--- a/modules/ownership/shards/shard_ownership_requests.cpp
+++ b/modules/ownership/shards/shard_ownership_requests.cpp
@@ -23,7 +23,7 @@
     const bool stopping = m_stoppingSince != absl::InfiniteFuture();
     if (stopping && m_held.empty() && m_lease.lease() == 0)
         return;
-    if (auto request = m_lease.advance(m_lastRequest + 1, now)) {
+    if (auto request = m_lease.advance(m_lastRequest + 1, m_held.empty(), now)) {
         ++m_lastRequest;
         requests.push_back(*std::move(request));
     }
