--- a/modules/targets/admission/target_admission.cpp
+++ b/modules/targets/admission/target_admission.cpp
@@ -20,6 +20,7 @@
     : m_listing(std::move(listing))
     , m_options(options)
     , m_limit(options.coldLimit)
+    , m_instanceSince(now)
     , m_fallenAt(now)
 {
     QUETZAL_PRECONDITION(options.coldLimit >= 1 && options.warmLimit >= options.coldLimit);
@@ -72,10 +73,11 @@
         return;
     switch (observation.evidence) {
     case target_evidence::Answered:
-        return observeAnswer(observation);
+        return observeAnswer(observation, now);
     case target_evidence::Refused:
+        observeReset(observation, now);
         m_unreachableSince = now;
-        return fallToCold(now);
+        return;
     case target_evidence::Reset:
         return observeReset(observation, now);
     case target_evidence::Overloaded:
@@ -144,6 +146,21 @@
     return now - m_reportAt <= m_options.reportLag ? m_running : -1;
 }
 
+bool target_admission::mayGrow(absl::Time now) const
+{
+    const bool reported = m_lastUptime >= absl::ZeroDuration();
+    return reported ? !m_reportedCold : now >= m_instanceSince + m_options.reportLag;
+}
+
+bool target_admission::wasLimitInUse(const target_observation &observation, absl::Time now)
+{
+    if (observation.running < 0)
+        return true;
+    if (observation.running >= m_limit)
+        m_fullAt = now;
+    return observation.running >= m_limit || observation.startedAt <= m_fullAt;
+}
+
 bool target_admission::isLeaving() const
 {
     return m_listing.leaving || m_unlisted || m_reportedLeaving
@@ -184,6 +201,8 @@
 
 bool target_admission::mayHaveReplaced(const target_load &load, absl::Time now) const
 {
+    if (m_instance.empty())
+        return true;
     const bool startKnown = m_startEstimate != absl::InfiniteFuture();
     return now - load.uptime
         > (startKnown ? m_startEstimate : m_instanceSince - m_options.reportLag);
@@ -191,7 +210,8 @@
 
 bool target_admission::hasReturned(const target_load &load, absl::Time now) const
 {
-    return startedLater(load, now) || now > m_reportAt + 2 * m_options.reportLag;
+    const absl::Time lastSign = std::max(m_reportAt, m_instanceSince);
+    return startedLater(load, now) || now > lastSign + 2 * m_options.reportLag;
 }
 
 void target_admission::startInstance(const std::string &instance, absl::Time now)
@@ -217,19 +237,20 @@
 {
     m_limit = m_options.coldLimit;
     m_goodAnswers = 0;
+    m_fullAt = absl::InfinitePast();
     m_answered = false;
     m_fallenAt = now;
     m_suspectedAt = now;
 }
 
-void target_admission::observeAnswer(const target_observation &observation)
+void target_admission::observeAnswer(const target_observation &observation, absl::Time now)
 {
     if (observation.startedAt < (observation.instance.empty() ? m_fallenAt : m_suspectedAt))
         return;
     m_answered = true;
     m_silentInARow = 0;
     m_unreachableSince = absl::InfiniteFuture();
-    if (observation.running >= 0 && observation.running < m_limit)
+    if (!mayGrow(now) || !wasLimitInUse(observation, now))
         return;
     ++m_goodAnswers;
     grow();
@@ -237,6 +258,8 @@
 
 void target_admission::observeReset(const target_observation &observation, absl::Time now)
 {
+    if (m_instance.empty())
+        startInstance("", now);
     const bool failedTrial = !m_answered && observation.startedAt >= m_fallenAt;
     if (failedTrial)
         m_unreachableSince = now;
@@ -260,6 +283,7 @@
         return;
     m_limit = std::min(m_options.warmLimit, doubling ? m_limit * 2 : m_limit + 1);
     m_goodAnswers = 0;
+    m_fullAt = absl::InfinitePast();
 }
 
 } // namespace quetzal
