--- /dev/null
+++ b/bench/fairness/fairness_report.cpp
@@ -0,0 +1,217 @@
+#include "fairness/fairness_report.h"
+
+#include "fairness/baseline_policies.h"
+#include "fairness/estimate_rules.h"
+#include "fairness/fair_policy.h"
+
+#include <absl/strings/str_format.h>
+#include <nlohmann/json.hpp>
+
+namespace quetzal::bench {
+
+namespace {
+
+constexpr int routerCount = 6;
+constexpr double largestRequest = 8192.0;
+const absl::Duration firstFault = absl::Minutes(5);
+const absl::Duration secondFault = absl::Minutes(8);
+const absl::Duration partitionLength = absl::Seconds(30);
+
+cost_estimator_options estimatorOptions(double streamedWeight)
+{
+    return {.largestRequest = largestRequest, .streamedWeight = streamedWeight};
+}
+
+template <typename policy_type>
+simulation_result simulate(const fairness_case &item, policy_type policy)
+{
+    return fairness_simulation<policy_type>(item.options, policy).run();
+}
+
+template <estimate_rule rule_type>
+simulation_result simulateFair(const fairness_case &item, const rule_type &rule)
+{
+    const int shards
+        = (item.options.load.targets + item.targetsPerShard - 1) / item.targetsPerShard;
+    exchange_options options;
+    if (item.partitioned) {
+        options.partitionStart = absl::UnixEpoch() + secondFault;
+        options.partitionEnd = options.partitionStart + partitionLength;
+    }
+    return simulate(item, fair_policy<rule_type>(item.options.load, shards, rule, options));
+}
+
+simulation_result runFair(const fairness_case &item)
+{
+    switch (item.rule) {
+    case rule_name::Nothing:
+        return simulateFair(item, nothing_rule());
+    case rule_name::Hint:
+    case rule_name::TrueCost:
+        return simulateFair(item, hint_rule());
+    case rule_name::CorrectedHint:
+        return simulateFair(item, corrected_hint_rule());
+    case rule_name::Mean:
+        return simulateFair(item, mean_rule(estimatorOptions(0.0)));
+    case rule_name::Weighed:
+        return simulateFair(item, cost_estimator(estimatorOptions(0.0)));
+    case rule_name::WeighedStreamed:
+        break;
+    }
+    const cost_estimator_options standard;
+    return simulateFair(item, cost_estimator(estimatorOptions(standard.streamedWeight)));
+}
+
+class case_list
+{
+public:
+    case_list(std::uint64_t seed, absl::Duration duration)
+        : m_seed(seed)
+        , m_duration(duration)
+    {
+    }
+
+    fairness_case &add(const workload &load, std::string label)
+    {
+        fairness_case item {.label = std::move(label)};
+        item.options.load = load;
+        item.options.duration = m_duration;
+        item.options.seed = m_seed;
+        item.targetsPerShard = load.targets;
+        m_cases.push_back(std::move(item));
+        return m_cases.back();
+    }
+
+    std::vector<fairness_case> take() { return std::move(m_cases); }
+
+private:
+    std::uint64_t m_seed;
+    absl::Duration m_duration;
+    std::vector<fairness_case> m_cases;
+};
+
+void addBaselines(case_list &cases, workload load)
+{
+    cases.add(load, "round robin at each router").policy = policy_name::RouterRoundRobin;
+    cases.add(load, "one queue in arrival order").policy = policy_name::ArrivalOrder;
+    cases.add(load, "charge at the end").rule = rule_name::Nothing;
+    load.hintSigma = 0.0;
+    cases.add(load, "exact queue, true costs").rule = rule_name::TrueCost;
+}
+
+void addRules(case_list &cases, const workload &load, const std::string &hints)
+{
+    cases.add(load, "hint, " + hints).rule = rule_name::Hint;
+    cases.add(load, "hint x bias, " + hints).rule = rule_name::CorrectedHint;
+    cases.add(load, "mean, " + hints).rule = rule_name::Mean;
+    cases.add(load, "weighed, " + hints).rule = rule_name::Weighed;
+    cases.add(load, "weighed + streamed, " + hints).rule = rule_name::WeighedStreamed;
+}
+
+void addHints(case_list &cases, workload load)
+{
+    load.hintSigma = 0.0;
+    addRules(cases, load, "hints right");
+    load.hintSigma = 0.5;
+    addRules(cases, load, "hints sigma 0.5");
+    load.hintSigma = 1.5;
+    addRules(cases, load, "hints sigma 1.5");
+    load.hintSigma = 0.5;
+    load.misleadingWorkspace = 0;
+    addRules(cases, load, "one workspace 10x low");
+}
+
+void addShards(case_list &cases, const workload &load)
+{
+    for (const int targets : {1, 4, 8})
+        for (const int millis : {50, 500, 1000, 5000}) {
+            if (targets >= load.targets)
+                continue;
+            fairness_case &item = cases.add(
+                load, absl::StrFormat("%d targets a shard, exchange %d ms", targets, millis));
+            item.targetsPerShard = targets;
+            item.options.exchangePeriod = absl::Milliseconds(millis);
+        }
+}
+
+void addFaults(case_list &cases, const workload &load)
+{
+    constexpr int targetsPerShard = 2;
+    const auto add = [&](const std::string &label) -> fairness_case & {
+        fairness_case &item = cases.add(load, label);
+        item.targetsPerShard = targetsPerShard;
+        return item;
+    };
+    add("2 targets a shard, no fault");
+    add("fault: owner lost").options.ownerLosses = {firstFault};
+    add("fault: home lost").options.homeLosses = {firstFault};
+    add("fault: partition of 30 s").partitioned = true;
+    fairness_case &all = add("fault: all of them, two twice");
+    all.partitioned = true;
+    all.options.ownerLosses = {firstFault, firstFault + absl::Seconds(10)};
+    all.options.homeLosses = {firstFault, firstFault + absl::Seconds(12)};
+    all.options.load.misleadingWorkspace = 0;
+}
+
+} // namespace
+
+simulation_result run(const fairness_case &item)
+{
+    switch (item.policy) {
+    case policy_name::ArrivalOrder:
+        return simulate(item, arrival_order_policy(item.options.load, item.options.seed));
+    case policy_name::RouterRoundRobin:
+        return simulate(item, router_round_robin_policy(item.options.load, routerCount));
+    case policy_name::Fair:
+        break;
+    }
+    return runFair(item);
+}
+
+std::vector<fairness_case> fairnessCases(std::uint64_t seed, absl::Duration duration)
+{
+    case_list cases(seed, duration);
+    for (const workload &load : {rosterLlm(), redactor(), rosterApp(), registo()}) {
+        addBaselines(cases, load);
+        if (load.countsAnswers)
+            cases.add(load, "fair").rule = rule_name::WeighedStreamed;
+        else
+            addHints(cases, load);
+        addShards(cases, load);
+        addFaults(cases, load);
+    }
+    return cases.take();
+}
+
+std::string toTable(const std::vector<fairness_row> &rows)
+{
+    std::string text
+        = absl::StrFormat("%-11s %-38s %10s %9s %9s %8s %9s %9s\n", "service", "case", "dispatched",
+                          "streamed", "completed", "busy %", "msgs/s", "lines/s");
+    for (const fairness_row &row : rows) {
+        const simulation_result &result = row.result;
+        absl::StrAppendFormat(&text, "%-11s %-38s %10.2f %9.2f %9.2f %8.2f %9.1f %9.1f\n",
+                              row.service, row.label, result.dispatchedGap, result.streamedGap,
+                              result.completedGap, 100.0 * result.utilisation,
+                              result.messagesPerSecond, result.linesPerSecond);
+    }
+    return text;
+}
+
+std::string toJson(const std::vector<fairness_row> &rows)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const fairness_row &row : rows)
+        list.push_back({{"service", row.service},
+                        {"case", row.label},
+                        {"dispatchedGap", row.result.dispatchedGap},
+                        {"streamedGap", row.result.streamedGap},
+                        {"completedGap", row.result.completedGap},
+                        {"utilisation", row.result.utilisation},
+                        {"requests", row.result.requests},
+                        {"ledgerMessagesPerSecond", row.result.messagesPerSecond},
+                        {"ledgerLinesPerSecond", row.result.linesPerSecond}});
+    return list.dump(2);
+}
+
+} // namespace quetzal::bench
--- /dev/null
+++ b/bench/fairness/fairness_report.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "fairness/fairness_simulation.h"
+#include "fairness/workload.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quetzal::bench {
+
+/** The estimate rules that the bench compares. */
+enum class rule_name
+{
+    Nothing,
+    Hint,
+    CorrectedHint,
+    Mean,
+    /** The project's estimator with all of the estimate until the end. */
+    Weighed,
+    /** The project's estimator as it is: streamed units replace a part of the estimate. */
+    WeighedStreamed,
+    /** The hint, with hints that equal the costs: the exact queue. */
+    TrueCost,
+};
+
+/** The policies that the bench compares. */
+enum class policy_name
+{
+    Fair,
+    ArrivalOrder,
+    RouterRoundRobin,
+};
+
+/** One run. */
+struct fairness_case
+{
+    std::string label;
+    simulation_options options;
+    policy_name policy = policy_name::Fair;
+    rule_name rule = rule_name::WeighedStreamed;
+    int targetsPerShard = 18;
+    bool partitioned = false;
+};
+
+/** One run with its measures. */
+struct fairness_row
+{
+    std::string service;
+    std::string label;
+    simulation_result result;
+};
+
+/** Runs one case. */
+simulation_result run(const fairness_case &item);
+/** The baselines, rules, shard sizes and faults for every service of both deployments. */
+std::vector<fairness_case> fairnessCases(std::uint64_t seed, absl::Duration duration);
+/** The rows as a table for people. */
+std::string toTable(const std::vector<fairness_row> &rows);
+/** The rows as JSON. */
+std::string toJson(const std::vector<fairness_row> &rows);
+
+} // namespace quetzal::bench
--- /dev/null
+++ b/bench/fairness/fairness_simulation.h
@@ -0,0 +1,232 @@
+#pragma once
+
+#include "fairness/service_gap.h"
+#include "fairness/workload.h"
+#include "simulation/event_queue.h"
+
+#include <absl/time/time.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace quetzal::bench {
+
+/** What the simulation needs of a policy that chooses the next workspace. */
+template <typename policy_type>
+concept dispatch_policy
+    = requires(policy_type &policy, const simulated_request &request, event_queue &events)
+{
+    {
+        policy.partitions()
+        } -> std::convertible_to<int>;
+    {
+        policy.next(0)
+        } -> std::convertible_to<int>;
+    {
+        policy.dispatched(0, request)
+        } -> std::convertible_to<double>;
+    {
+        policy.progressed(0, request, 0.0, 0.0)
+        } -> std::convertible_to<double>;
+    policy.ended(0, request, 0.0, 0.0);
+    policy.exchange(events);
+    policy.loseOwner(0);
+    policy.loseHome(0);
+};
+
+/** Options of fairness_simulation. */
+struct simulation_options
+{
+    workload load;
+    absl::Duration duration = absl::Minutes(30);
+    absl::Duration exchangePeriod = absl::Milliseconds(500);
+    /** How often routers report what running requests have streamed. */
+    absl::Duration reportPeriod = absl::Milliseconds(250);
+    std::uint64_t seed = 1;
+    /** When the owner of the first shard is lost; its successor grants after takeover. */
+    std::vector<absl::Duration> ownerLosses;
+    absl::Duration takeover = absl::Seconds(3);
+    /** When the first home is lost. */
+    std::vector<absl::Duration> homeLosses;
+};
+
+/** The measures of one run; gaps are in largest weighted requests. */
+struct simulation_result
+{
+    double dispatchedGap = 0.0;
+    double streamedGap = 0.0;
+    double completedGap = 0.0;
+    /** Busy part of the slots while work waited. */
+    double utilisation = 0.0;
+    std::int64_t requests = 0;
+    /** Ledger messages and lines of all VMs in a second. */
+    double messagesPerSecond = 0.0;
+    double linesPerSecond = 0.0;
+};
+
+/** All workspaces always backlogged before the slots of one service, under one policy. */
+template <dispatch_policy policy_type>
+class fairness_simulation
+{
+public:
+    fairness_simulation(const simulation_options &options, policy_type &policy)
+        : m_options(options)
+        , m_policy(policy)
+        , m_events(absl::UnixEpoch())
+        , m_dispatched(options.load.shares)
+        , m_streamed(options.load.shares)
+        , m_completed(options.load.shares)
+        , m_largest(options.load.shares.size())
+        , m_rates(options.load.shares.size())
+        , m_free(policy.partitions())
+        , m_blocked(policy.partitions())
+    {
+        const int count = static_cast<int>(options.load.shares.size());
+        for (int workspace = 0; workspace < count; ++workspace)
+            m_streams.emplace_back(m_options.load, workspace, options.seed);
+    }
+
+    simulation_result run()
+    {
+        shareSlots();
+        m_events.every(m_options.exchangePeriod, [this] { m_policy.exchange(m_events); });
+        if (!m_options.load.countsAnswers)
+            m_events.every(m_options.reportPeriod, [this] { report(); });
+        for (const absl::Duration when : m_options.ownerLosses)
+            m_events.after(when, [this] { loseOwner(0); });
+        for (const absl::Duration when : m_options.homeLosses)
+            m_events.after(when, [this] { m_policy.loseHome(0); });
+        for (int partition = 0; partition < m_policy.partitions(); ++partition)
+            fill(partition);
+        m_events.runUntil(absl::UnixEpoch() + m_options.duration);
+        stream();
+        return result();
+    }
+
+private:
+    struct running_request
+    {
+        simulated_request request;
+        int partition = 0;
+        absl::Time began;
+        double charged = 0.0;
+    };
+
+    int slots() const { return m_options.load.targets * m_options.load.slotsPerTarget; }
+
+    void shareSlots()
+    {
+        const int partitions = m_policy.partitions();
+        for (int slot = 0; slot < slots(); ++slot)
+            ++m_free[slot * partitions / slots()];
+    }
+
+    void fill(int partition)
+    {
+        while (m_free[partition] > 0 && !m_blocked[partition])
+            dispatch(partition);
+    }
+
+    void dispatch(int partition)
+    {
+        stream();
+        const int workspace = m_policy.next(partition);
+        const simulated_request request = m_streams[workspace].next();
+        --m_free[partition];
+        ++m_requests;
+        m_largest[workspace] = std::max(m_largest[workspace], request.cost);
+        m_dispatched.add(workspace, request.cost);
+        m_rates[workspace] += request.cost / request.seconds;
+        const std::int64_t number = m_requests;
+        m_running[number] = {.request = request,
+                             .partition = partition,
+                             .began = m_events.now(),
+                             .charged = m_policy.dispatched(partition, request)};
+        m_events.after(absl::Seconds(request.seconds), [this, number] { end(number); });
+    }
+
+    void end(std::int64_t number)
+    {
+        stream();
+        const running_request ended = m_running[number];
+        m_running.erase(number);
+        const simulated_request &request = ended.request;
+        m_rates[request.workspace] -= request.cost / request.seconds;
+        const bool counts = request.isAnswered || !m_options.load.countsAnswers;
+        const double served = counts ? request.cost : 0.0;
+        if (!counts)
+            m_dispatched.add(request.workspace, -request.cost);
+        m_completed.add(request.workspace, served);
+        m_policy.ended(ended.partition, request, ended.charged, served);
+        ++m_free[ended.partition];
+        fill(ended.partition);
+    }
+
+    /** Brings the streamed service up to the present. */
+    void stream()
+    {
+        const double seconds = absl::ToDoubleSeconds(m_events.now() - m_streamedUntil);
+        m_streamedUntil = m_events.now();
+        if (seconds <= 0.0)
+            return;
+        std::vector<double> amounts = m_rates;
+        for (double &amount : amounts)
+            amount *= seconds;
+        m_streamed.addAll(amounts);
+        m_busySeconds += static_cast<double>(m_running.size()) * seconds;
+    }
+
+    void report()
+    {
+        for (auto &[number, item] : m_running) {
+            const double seconds = absl::ToDoubleSeconds(m_events.now() - item.began);
+            const double streamed = item.request.cost * seconds / item.request.seconds;
+            item.charged
+                = m_policy.progressed(item.partition, item.request, item.charged, streamed);
+        }
+    }
+
+    void loseOwner(int partition)
+    {
+        m_policy.loseOwner(partition);
+        m_blocked[partition] = true;
+        m_events.after(m_options.takeover, [this, partition] {
+            m_blocked[partition] = false;
+            fill(partition);
+        });
+    }
+
+    simulation_result result() const
+    {
+        const double seconds = absl::ToDoubleSeconds(m_options.duration);
+        return {.dispatchedGap = m_dispatched.worst(m_largest),
+                .streamedGap = m_streamed.worst(m_largest),
+                .completedGap = m_completed.worst(m_largest),
+                .utilisation = m_busySeconds / (seconds * slots()),
+                .requests = m_requests,
+                .messagesPerSecond = static_cast<double>(m_policy.messages()) / seconds,
+                .linesPerSecond = static_cast<double>(m_policy.lines()) / seconds};
+    }
+
+    simulation_options m_options;
+    policy_type &m_policy;
+    event_queue m_events;
+    service_gap m_dispatched;
+    service_gap m_streamed;
+    service_gap m_completed;
+    std::vector<double> m_largest;
+    /** Units streamed in a second by the running requests of each workspace. */
+    std::vector<double> m_rates;
+    std::vector<int> m_free;
+    std::vector<bool> m_blocked;
+    std::vector<request_stream> m_streams;
+    std::map<std::int64_t, running_request> m_running;
+    std::int64_t m_requests = 0;
+    absl::Time m_streamedUntil = absl::UnixEpoch();
+    double m_busySeconds = 0.0;
+};
+
+} // namespace quetzal::bench
--- /dev/null
+++ b/bench/slopes/slopes_report.cpp
@@ -0,0 +1,241 @@
+#include "slopes/slopes_report.h"
+
+#include "fairness/fairness.h"
+
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_join.h>
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+#include <functional>
+#include <malloc.h>
+
+namespace quetzal::bench {
+
+namespace {
+
+const std::vector<double> workspaceSizes {1875, 3750, 7500, 15000};
+const std::vector<double> backloggedSizes {100, 300, 750, 1500};
+constexpr int repeats = 20000;
+
+std::string name(int index)
+{
+    return "workspace-" + std::to_string(index);
+}
+
+double heapBytes()
+{
+    return static_cast<double>(mallinfo2().uordblks);
+}
+
+/** Mean microseconds of one call. */
+double microsecondsOf(int calls, const std::function<void(int)> &call)
+{
+    const auto began = std::chrono::steady_clock::now();
+    for (int index = 0; index < calls; ++index)
+        call(index);
+    const std::chrono::duration<double, std::micro> spent
+        = std::chrono::steady_clock::now() - began;
+    return spent.count() / calls;
+}
+
+slope_row measure(std::string object, std::string what, std::string unit,
+                  const std::vector<double> &sizes, const std::function<double(int)> &valueAt)
+{
+    slope_row row {.object = std::move(object),
+                   .measure = std::move(what),
+                   .unit = std::move(unit),
+                   .sizes = sizes,
+                   .values = {}};
+    for (const double size : sizes)
+        row.values.push_back(valueAt(static_cast<int>(size)));
+    fit(row);
+    return row;
+}
+
+fair_order orderOf(int workspaces, int backlogged)
+{
+    fair_order order;
+    for (int index = 0; index < workspaces; ++index)
+        order.setShare(name(index), 1.0 + index % 4);
+    for (int index = 0; index < backlogged; ++index) {
+        order.setBacklogged(name(index), true);
+        order.charge(name(index), index);
+    }
+    return order;
+}
+
+double serveMicroseconds(int backlogged)
+{
+    fair_order order = orderOf(backlogged, backlogged);
+    const auto any = [](const std::string &) {
+        return true;
+    };
+    return microsecondsOf(
+        repeats, [&](int index) { order.charge(order.next(any).value(), 100.0 + index % 7); });
+}
+
+double scanMicroseconds(int backlogged)
+{
+    const fair_order order = orderOf(backlogged, backlogged);
+    const auto none = [](const std::string &) {
+        return false;
+    };
+    return microsecondsOf(repeats / 100, [&](int) { order.next(none); });
+}
+
+double orderBytes(int workspaces)
+{
+    const double before = heapBytes();
+    const fair_order order = orderOf(workspaces, workspaces / 10);
+    return heapBytes() - before;
+}
+
+double estimatorBytes(int workspaces)
+{
+    const double before = heapBytes();
+    cost_estimator estimator(cost_estimator_options {});
+    for (int index = 0; index < workspaces; ++index)
+        estimator.learn({.workspace = name(index), .requestKind = "chat", .hint = 100.0}, 90.0);
+    return heapBytes() - before;
+}
+
+double estimateMicroseconds(int workspaces)
+{
+    cost_estimator estimator(cost_estimator_options {});
+    for (int index = 0; index < workspaces; ++index)
+        estimator.learn({.workspace = name(index), .requestKind = "chat", .hint = 100.0}, 90.0);
+    return microsecondsOf(repeats, [&](int index) {
+        estimator.estimate(
+            {.workspace = name(index % workspaces), .requestKind = "chat", .hint = 100.0});
+    });
+}
+
+std::string oneHome(const std::string &)
+{
+    return "vm";
+}
+
+double collectMicroseconds(int backlogged)
+{
+    constexpr int rounds = 20;
+    fair_order order = orderOf(backlogged, backlogged);
+    ledger_writer writer("service", "shard#1");
+    return microsecondsOf(rounds, [&](int) { writer.collect(order, oneHome); });
+}
+
+double exchangeMicroseconds(int backlogged)
+{
+    constexpr int rounds = 20;
+    fair_order order = orderOf(backlogged, backlogged);
+    ledger_writer writer("service", "shard#1");
+    ledger_home home(1);
+    return microsecondsOf(rounds, [&](int) {
+        for (int index = 0; index < backlogged; ++index) {
+            order.charge(name(index), 1.0);
+            writer.touch(name(index));
+        }
+        for (const auto &[vm, change] : writer.collect(order, oneHome))
+            writer.onAnswer(vm, home.onChange(change), order);
+    });
+}
+
+double writerBytes(int workspaces)
+{
+    const fair_order order = orderOf(workspaces, 0);
+    const double before = heapBytes();
+    ledger_writer writer("service", "shard#1");
+    for (int index = 0; index < workspaces; ++index)
+        writer.touch(name(index));
+    writer.collect(order, oneHome);
+    return heapBytes() - before;
+}
+
+double homeBytes(int shards)
+{
+    constexpr int accounts = 50;
+    const double before = heapBytes();
+    ledger_home home(1);
+    for (int shard = 0; shard < shards; ++shard) {
+        ledger_change change {.service = "service",
+                              .writer = toText(ledger_writer_name {name(shard), 1}),
+                              .sequence = 1,
+                              .lines = {}};
+        for (int index = 0; index < accounts; ++index)
+            change.lines.push_back({.workspace = name(index), .charged = 1.0});
+        home.onChange(change);
+    }
+    return (heapBytes() - before) / accounts;
+}
+
+} // namespace
+
+void fit(slope_row &row)
+{
+    const auto count = static_cast<double>(row.sizes.size());
+    double sumX = 0.0;
+    double sumY = 0.0;
+    double sumXX = 0.0;
+    double sumXY = 0.0;
+    for (std::size_t index = 0; index < row.sizes.size(); ++index) {
+        sumX += row.sizes[index];
+        sumY += row.values[index];
+        sumXX += row.sizes[index] * row.sizes[index];
+        sumXY += row.sizes[index] * row.values[index];
+    }
+    row.slope = (count * sumXY - sumX * sumY) / (count * sumXX - sumX * sumX);
+    row.intercept = (sumY - row.slope * sumX) / count;
+}
+
+std::vector<slope_row> measureSlopes()
+{
+    const std::vector<double> shardSizes {5, 10, 20, 40};
+    return {
+        measure("fair_order", "memory by workspaces, a tenth backlogged", "B", workspaceSizes,
+                orderBytes),
+        measure("fair_order", "next and charge by backlogged", "us", backloggedSizes,
+                serveMicroseconds),
+        measure("fair_order", "next with nobody eligible by backlogged", "us", backloggedSizes,
+                scanMicroseconds),
+        measure("cost_estimator", "memory by workspaces and kinds", "B", workspaceSizes,
+                estimatorBytes),
+        measure("cost_estimator", "estimate by workspaces and kinds", "us", workspaceSizes,
+                estimateMicroseconds),
+        measure("ledger_writer", "memory by workspaces", "B", workspaceSizes, writerBytes),
+        measure("ledger_writer", "collect by backlogged", "us", backloggedSizes,
+                collectMicroseconds),
+        measure("writer + home", "exchange of every line by backlogged", "us", backloggedSizes,
+                exchangeMicroseconds),
+        measure("ledger_home", "memory of an account by shards", "B", shardSizes, homeBytes),
+    };
+}
+
+std::string toTable(const std::vector<slope_row> &rows)
+{
+    std::string text;
+    for (const slope_row &row : rows) {
+        absl::StrAppendFormat(&text, "%-15s %-42s %10.4f %s each + %.1f %s\n", row.object,
+                              row.measure, row.slope, row.unit, row.intercept, row.unit);
+        absl::StrAppendFormat(&text, "%16ssizes %s: %s\n", "", absl::StrJoin(row.sizes, ", "),
+                              absl::StrJoin(row.values, ", ", [](std::string *out, double value) {
+                                  absl::StrAppendFormat(out, "%.2f", value);
+                              }));
+    }
+    return text;
+}
+
+std::string toJson(const std::vector<slope_row> &rows)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const slope_row &row : rows)
+        list.push_back({{"object", row.object},
+                        {"measure", row.measure},
+                        {"unit", row.unit},
+                        {"sizes", row.sizes},
+                        {"values", row.values},
+                        {"slope", row.slope},
+                        {"intercept", row.intercept}});
+    return list.dump(2);
+}
+
+} // namespace quetzal::bench
--- a/modules/fairness/estimate/cost_estimator.h
+++ b/modules/fairness/estimate/cost_estimator.h
@@ -28,7 +28,7 @@
     /** Weight of the newest sample once this many have been seen is one over this number. */
     double memorySamples = 32.0;
     /** Part of the estimate that what has streamed replaces, in [0, 1]. */
-    double streamedWeight = 0.5;
+    double streamedWeight = 0.8;
     /** Most workspaces and kinds remembered; beyond it one is forgotten for each new one. */
     std::size_t capacity = 65536;
 };
--- a/modules/fairness/ledger/ledger_home.cpp
+++ b/modules/fairness/ledger/ledger_home.cpp
@@ -19,11 +19,14 @@
     if (line.totalVersion == 0)
         return;
     own.recognised = line.included;
+    own.charged = line.included;
     if (line.totalVersion <= earlierVersion)
         return;
+    const double oldTotal = total();
     earlierTotal = line.totalKnown;
     earlierVersion = line.totalVersion;
     totalVersion = std::max(totalVersion, line.totalVersion);
+    lift = std::max(line.lift, lift - std::max(0.0, total() - oldTotal));
 }
 
 ledger_home::ledger_home(std::int64_t incarnation, ledger_home_options options)
@@ -66,24 +69,21 @@
 
 void ledger_home::takeLine(const ledger_change &change, std::int64_t epoch, const ledger_line &line)
 {
-    const auto [place, isNewAccount] = m_accounts.try_emplace({change.service, line.workspace});
-    account &entry = place->second;
+    account &entry = m_accounts[{change.service, line.workspace}];
     entry.heard = m_now;
     const auto [part, isNewWriter] = entry.byWriter.try_emplace(change.writer);
     contribution &own = part->second;
     const double oldTotal = entry.total();
     const double oldLift = entry.lift;
-    if (isNewWriter) {
+    if (isNewWriter)
         entry.recognise(own, line);
-        own.charged = line.included;
-    }
-    const double recovered = entry.total() - oldTotal;
     own.epoch = epoch;
     own.charged = line.charged;
 
     const double total = entry.total();
     const double level = line.totalKnown + line.charged - line.included + line.lift;
-    entry.lift = isNewAccount ? level - total : std::max(oldLift - recovered, level - total);
+    const double missing = level + line.liftRaise - total - entry.lift;
+    entry.lift += std::clamp(missing, 0.0, line.liftRaise);
     if (total == oldTotal && entry.lift == oldLift && !isNewWriter)
         return;
     entry.version = ++m_version;
--- a/modules/fairness/ledger/ledger_types.h
+++ b/modules/fairness/ledger/ledger_types.h
@@ -20,12 +20,14 @@
     double charged = 0.0;
     /** Writer to home: the total that the writer last learned from a home. */
     double totalKnown = 0.0;
-    /** Virtual time added to the total when the workspace became backlogged. */
+    /** Virtual time added to the total, as the home has it or told it together with the total. */
     double lift = 0.0;
     /** The part of the total that is this writer's own charge, as the home had it. */
     double included = 0.0;
     /** Grows with every change of the total, over all homes: the later of two totals has more. */
     std::int64_t totalVersion = 0;
+    /** Writer to home: what the writer added to the lift when the workspace became backlogged. */
+    double liftRaise = 0.0;
 
     bool operator==(const ledger_line &) const = default;
 };
--- a/modules/fairness/ledger/ledger_writer.cpp
+++ b/modules/fairness/ledger/ledger_writer.cpp
@@ -57,7 +57,7 @@
         if (line.acknowledged && !asks && !m_homesMoved)
             continue;
         moveTo(line, homeOf(workspace));
-        if (line.acknowledged && order.lift(workspace) != line.sentLift)
+        if (line.acknowledged && order.lift(workspace) != line.toldLift)
             markChanged(line);
         if (line.acknowledged && !asks)
             continue;
@@ -68,9 +68,10 @@
         change.lines.push_back({.workspace = workspace,
                                 .charged = order.virtualCharged(workspace),
                                 .totalKnown = line.totalKnown,
-                                .lift = line.sentLift,
+                                .lift = line.toldLift,
                                 .included = line.included,
-                                .totalVersion = line.totalVersion});
+                                .totalVersion = line.totalVersion,
+                                .liftRaise = std::max(0.0, line.sentLift - line.toldLift)});
     }
     m_homesMoved = false;
     if (!changes.empty())
@@ -119,13 +120,15 @@
     if (found == m_entries.end())
         return;
     entry &known = found->second;
-    const bool liftedSince = order.lift(line.workspace) != known.sentLift;
-    const double level = order.virtualTime(line.workspace);
+    const double oldLift = order.lift(line.workspace);
+    const double oldLevel = order.virtualTime(line.workspace);
+    const bool isRaisePending = !known.acknowledged || oldLift != known.sentLift;
+    const double raise = isRaisePending ? std::max(0.0, oldLift - known.toldLift) : 0.0;
     order.setRemoteTotal(line.workspace, line.charged - line.included);
     order.setLift(line.workspace, line.lift);
-    if (liftedSince && order.virtualTime(line.workspace) < level)
-        order.setLift(line.workspace, line.lift + level - order.virtualTime(line.workspace));
-    known.sentLift = line.lift;
+    const double missing = oldLevel - order.virtualTime(line.workspace);
+    order.setLift(line.workspace, line.lift + std::clamp(missing, 0.0, raise));
+    known.toldLift = line.lift;
     known.totalKnown = line.charged;
     known.totalVersion = line.totalVersion;
     known.included = line.included;
--- a/modules/fairness/ledger/ledger_writer.h
+++ b/modules/fairness/ledger/ledger_writer.h
@@ -63,6 +63,8 @@
         double totalKnown = 0.0;
         std::int64_t totalVersion = 0;
         double included = 0.0;
+        double toldLift = 0.0;
+        /** The order's lift at the last collect(). */
         double sentLift = 0.0;
     };
     /** What has been heard from one home. */
