--- a/modules/transport/http/connection_pool.cpp
+++ b/modules/transport/http/connection_pool.cpp
@@ -26,24 +26,28 @@
 void connection_pool::enqueue(std::function<void()> serve)
 {
     bool crowded = false;
-    bool refused = false;
-    {
-        const absl::MutexLock lock(&m_mutex);
-        refused = m_waiting.size() >= m_options.mostWaiting + m_free;
-        if (!refused) {
-            m_waiting.push_back(std::move(serve));
-            crowded = m_waiting.size() > m_free && m_threads.size() >= m_options.threads;
-            if (m_waiting.size() > m_free && m_threads.size() < m_options.threads)
-                m_threads.emplace_back([this] { run(); });
-        }
-    }
-    if (crowded)
+    if (!tryWait(serve, crowded)) {
+        refusing = true;
+        serve();
+        refusing = false;
+    } else if (crowded) {
         addCrowded(1);
-    if (!refused)
-        return;
-    refusing = true;
-    serve();
-    refusing = false;
+    }
+}
+
+bool connection_pool::tryWait(std::function<void()> &serve, bool &crowded)
+{
+    const absl::MutexLock lock(&m_mutex);
+    if (m_waiting.size() >= m_options.mostWaiting + m_free)
+        return false;
+    m_waiting.push_back(std::move(serve));
+    if (m_waiting.size() <= m_free)
+        return true;
+    if (m_threads.size() < m_options.threads)
+        m_threads.emplace_back([this] { run(); });
+    else
+        crowded = true;
+    return true;
 }
 
 void connection_pool::shutdown()
--- a/modules/transport/http/connection_pool.h
+++ b/modules/transport/http/connection_pool.h
@@ -55,6 +55,7 @@
     static bool isRefusing();
 
 private:
+    bool tryWait(std::function<void()> &serve, bool &crowded);
     bool hasWork() const ABSL_SHARED_LOCKS_REQUIRED(m_mutex);
     void run();
     void addCrowded(std::uint64_t amount);
--- a/modules/transport/http/http_exchange.cpp
+++ b/modules/transport/http/http_exchange.cpp
@@ -21,8 +21,11 @@
 http_exchange::~http_exchange()
 {
     currentExchange = nullptr;
-    for (auto callback = m_callbacks.rbegin(); callback != m_callbacks.rend(); ++callback)
-        (*callback)();
+    while (!m_callbacks.empty()) {
+        const std::function<void()> callback = std::move(m_callbacks.back());
+        m_callbacks.pop_back();
+        callback();
+    }
 }
 
 http_exchange *http_exchange::current()
--- a/tests/transport/message_network_test.cpp
+++ b/tests/transport/message_network_test.cpp
@@ -1,5 +1,6 @@
 #include "foundation/errors/result_code.h"
 #include "protocol/messages/message_codec.h"
+#include "tcp_relay.h"
 #include "transport/link/frame.h"
 #include "transport/link/outbox.h"
 #include "transport_fixtures.h"
@@ -348,3 +349,45 @@
         }
     }
 }
+
+SCENARIO("Open connections that go silent while new ones work")
+{
+    const endpoint address = freeEndpoint();
+    test_node scheduler(schedulerId, address, shortSilence);
+    test_node router(routerId, {}, shortSilence);
+    scheduler.network.start();
+    router.network.start();
+    tcp_relay relay(address);
+    router.network.setPeers({{"vm-2", relay.address()}});
+    std::int64_t sent = 0;
+    const auto exchangeWorks = [&] {
+        const std::int64_t first = ++sent;
+        return waitUntil([&] {
+            router.network.send(schedulerId, numbered(sent));
+            scheduler.network.send(routerId, numbered(sent));
+            const auto arrived = [first](const message_inbox &inbox) {
+                const std::vector<message> messages = inbox.messages();
+                return !messages.empty()
+                    && std::get<protocol::configuration_request>(messages.back()).haveRevision
+                    >= first;
+            };
+            return arrived(scheduler.inbox) && arrived(router.inbox);
+        });
+    };
+    REQUIRE(exchangeWorks());
+
+    WHEN("the connection goes silent, and its successor does so too")
+    {
+        for (int round = 1; round <= 2; ++round) {
+            const int before = relay.accepted();
+            relay.silenceOpenConnections();
+            THEN("messages flow in both directions over a new connection, round "
+                 + std::to_string(round))
+            {
+                CHECK(exchangeWorks());
+                CHECK(relay.accepted() > before);
+                CHECK(router.network.counts().connectionsSilent >= 1);
+            }
+        }
+    }
+}
