--- a/modules/transport/http/connection_pool.cpp
+++ b/modules/transport/http/connection_pool.cpp
@@ -58,7 +58,7 @@
         m_stopping = true;
         threads.swap(m_threads);
     }
-    wakeIdle();
+    closeIdle();
     for (std::thread &thread : threads)
         thread.join();
 }
@@ -66,11 +66,14 @@
 bool connection_pool::takeCrowded()
 {
     std::uint64_t value = 0;
-    return read(m_crowded.descriptor(), &value, sizeof value) == sizeof value;
+    const bool taken = read(m_crowded.descriptor(), &value, sizeof value) == sizeof value;
+    m_gaveWay += taken ? 1 : 0;
+    return taken;
 }
 
-void connection_pool::wakeIdle()
+void connection_pool::closeIdle()
 {
+    m_closingIdle = true;
     addCrowded(m_options.threads + 1);
 }
 
--- a/modules/transport/http/connection_pool.h
+++ b/modules/transport/http/connection_pool.h
@@ -6,7 +6,9 @@
 #include <absl/synchronization/mutex.h>
 #include <httplib.h>
 
+#include <atomic>
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <functional>
 #include <thread>
@@ -29,8 +31,8 @@
  * Threads that serve connections, started as they are needed.
  *
  * Each connection that has to wait for a thread adds one to the value of a semaphore descriptor;
- * a thread that holds an idle connection may take one and close that connection instead. Beyond
- * mostWaiting a connection is handed to its function at once on the accepting thread, where
+ * a thread whose connection is idle or stalls may take one and close that connection instead.
+ * Beyond mostWaiting a connection is handed to its function at once on the accepting thread, where
  * isRefusing() is true.
  */
 class connection_pool : public httplib::TaskQueue
@@ -45,12 +47,15 @@
     /** Serves what waits, then joins the threads. */
     void shutdown() override;
 
-    /** Readable while a connection waits and an idle one should be closed. */
+    /** Readable while a connection waits and another one should give way. */
     int crowdedDescriptor() const { return m_crowded.descriptor(); }
-    /** Takes one request to close an idle connection; false when another thread was faster. */
+    /** Takes one request to give way; false when another thread was faster. */
     bool takeCrowded();
-    /** Wakes every thread that holds an idle connection. */
-    void wakeIdle();
+    /** From now on idle connections are closed, and requests under way no longer give way. */
+    void closeIdle();
+    bool isClosingIdle() const { return m_closingIdle; }
+    /** Connections that gave way to waiting ones. */
+    std::uint64_t gaveWay() const { return m_gaveWay; }
     /** True on the accepting thread while it refuses a connection. */
     static bool isRefusing();
 
@@ -62,6 +67,8 @@
 
     const connection_pool_options m_options;
     socket_handle m_crowded;
+    std::atomic<bool> m_closingIdle {false};
+    std::atomic<std::uint64_t> m_gaveWay {0};
     absl::Mutex m_mutex;
     std::deque<std::function<void()>> m_waiting ABSL_GUARDED_BY(m_mutex);
     std::vector<std::thread> m_threads ABSL_GUARDED_BY(m_mutex);
--- a/modules/transport/http/connection_stream.cpp
+++ b/modules/transport/http/connection_stream.cpp
@@ -1,5 +1,7 @@
 #include "transport/http/connection_stream.h"
 
+#include "transport/http/connection_pool.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
@@ -12,6 +14,12 @@
 
 namespace {
 
+/** A connection that is silent for less than this does not give way: bytes may be under way. */
+constexpr auto stallGrace = std::chrono::milliseconds(250);
+constexpr auto idleGrace = std::chrono::milliseconds(100);
+/** A request that takes longer than this to arrive gives way even while bytes come. */
+constexpr auto arrivalGrace = std::chrono::seconds(2);
+
 void readAddress(const sockaddr_storage &native, std::string &ip, int &port)
 {
     std::array<char, INET6_ADDRSTRLEN> text {};
@@ -30,19 +38,27 @@
 
 } // namespace
 
-connection_stream::connection_stream(int descriptor, connection_limits limits)
+connection_stream::connection_stream(int descriptor, connection_limits limits,
+                                     connection_pool &pool)
     : m_descriptor(descriptor)
     , m_limits(limits)
+    , m_pool(pool)
 {
     beginRequest();
 }
 
+bool connection_stream::awaitRequest()
+{
+    if (hasBufferedBytes())
+        return true;
+    const clock::duration limit = absl::ToChronoNanoseconds(m_limits.idleTimeout);
+    return waitGivingWay(idleGrace, limit, true) && isPeerConnected();
+}
+
 void connection_stream::beginRequest()
 {
     m_requestBytes = 0;
-    m_requestEnd = clock::now()
-        + std::chrono::duration_cast<clock::duration>(
-                       absl::ToChronoNanoseconds(m_limits.requestTimeout));
+    m_requestBegin = clock::now();
 }
 
 bool connection_stream::isPeerConnected() const
@@ -83,9 +99,11 @@
     m_mustClose = true;
     if (m_requestBytes >= m_limits.mostRequestBytes)
         return -1;
-    const clock::duration left = m_requestEnd - clock::now();
+    const clock::duration age = clock::now() - m_requestBegin;
+    const clock::duration left = absl::ToChronoNanoseconds(m_limits.requestTimeout) - age;
     const clock::duration progress = absl::ToChronoNanoseconds(m_limits.progressTimeout);
-    if (left <= clock::duration::zero() || !waitFor(POLLIN, std::min(left, progress)))
+    const clock::duration grace = age < arrivalGrace ? stallGrace : clock::duration::zero();
+    if (left <= clock::duration::zero() || !waitGivingWay(grace, std::min(left, progress), false))
         return -1;
     const ssize_t count = recv(m_descriptor, m_buffer.data(), m_buffer.size(), MSG_DONTWAIT);
     m_taken = 0;
@@ -125,6 +143,28 @@
     return poll(&ready, 1, static_cast<int>(millis.count())) > 0;
 }
 
+bool connection_stream::waitGivingWay(clock::duration grace, clock::duration limit, bool idle) const
+{
+    const clock::time_point end = clock::now() + limit;
+    if (waitFor(POLLIN, std::min(grace, limit)))
+        return true;
+    while (clock::now() < end) {
+        const bool stopping = m_pool.isClosingIdle();
+        if (stopping && idle)
+            return false;
+        std::array<pollfd, 2> events {
+            pollfd {.fd = m_descriptor, .events = POLLIN, .revents = 0},
+            pollfd {.fd = m_pool.crowdedDescriptor(), .events = POLLIN, .revents = 0}};
+        const auto left = std::chrono::ceil<std::chrono::milliseconds>(end - clock::now());
+        const int ready = poll(events.data(), stopping ? 1 : 2, static_cast<int>(left.count()));
+        if (events[0].revents != 0)
+            return true;
+        if (ready > 0 && !m_pool.isClosingIdle() && m_pool.takeCrowded())
+            return false;
+    }
+    return false;
+}
+
 void connection_stream::get_remote_ip_and_port(std::string &ip, int &port) const
 {
     sockaddr_storage native {};
--- a/modules/transport/http/connection_stream.h
+++ b/modules/transport/http/connection_stream.h
@@ -11,6 +11,8 @@
 
 namespace quetzal {
 
+class connection_pool;
+
 /** Limits of one caller's connection. */
 struct connection_limits
 {
@@ -30,23 +32,29 @@
  * The server's end of one accepted connection, with limits on time and bytes.
  *
  * cpp-httplib limits only single reads; a caller who sends a byte every few seconds would hold a
- * thread for ever. Bytes that arrive after a request stay buffered for the next one.
+ * thread for ever. While other connections wait for a thread, an idle connection and one whose
+ * request stalls or takes long to arrive are closed in their favour; an arrived request never is.
+ * Bytes that arrive after a request stay buffered for the next one.
  */
 class connection_stream : public httplib::Stream
 {
 public:
-    /** The descriptor stays the caller's to close. */
-    connection_stream(int descriptor, connection_limits limits);
+    /** The descriptor stays the caller's to close; the pool must outlive the stream. */
+    connection_stream(int descriptor, connection_limits limits, connection_pool &pool);
+
+    /**
+     * True when a request begins; false when the connection is to be closed, because it was idle
+     * for too long, gave way to a waiting one, or the server is stopping.
+     */
+    bool awaitRequest();
 
     /** Starts the limits of the next request. */
     void beginRequest();
-    /** True when bytes wait that were read together with the previous request. */
-    bool hasBufferedBytes() const { return m_taken < m_filled; }
     /** False once the caller has closed its end. */
     bool isPeerConnected() const;
     /**
      * True when what follows on the connection can't be trusted to be the start of a request: a
-     * limit was passed, or the request was answered as malformed.
+     * limit was passed, the request was answered as malformed, or it gave way before its end.
      */
     bool mustClose() const { return m_mustClose; }
 
@@ -64,17 +72,20 @@
     using clock = std::chrono::steady_clock;
     static constexpr std::size_t bufferBytes = 4096;
 
+    bool hasBufferedBytes() const { return m_taken < m_filled; }
     bool waitFor(short events, clock::duration limit) const;
+    bool waitGivingWay(clock::duration grace, clock::duration limit, bool idle) const;
     ssize_t fill();
     void noteStatus(std::string_view answer);
 
     int m_descriptor;
     connection_limits m_limits;
+    connection_pool &m_pool;
     std::array<char, bufferBytes> m_buffer {};
     std::size_t m_taken = 0;
     std::size_t m_filled = 0;
     std::size_t m_requestBytes = 0;
-    clock::time_point m_requestEnd;
+    clock::time_point m_requestBegin;
     bool m_mustClose = false;
 };
 
--- a/modules/transport/http/http_server_host.cpp
+++ b/modules/transport/http/http_server_host.cpp
@@ -4,6 +4,7 @@
 #include "transport/http/http_exchange.h"
 
 #include <array>
+#include <chrono>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -17,18 +18,11 @@
 namespace {
 
 constexpr int listenBacklog = 512;
-/** An idle connection younger than this is not closed for others: its request may be under way. */
-constexpr absl::Duration idleGrace = absl::Milliseconds(100);
 constexpr int mostDrainPauses = 200;
 constexpr auto drainPause = std::chrono::milliseconds(1);
 constexpr std::size_t mostExchangesPerConnection = 1'000'000;
 constexpr std::size_t drainBytes = 4096;
 
-int toMillis(absl::Duration duration)
-{
-    return static_cast<int>(absl::ToInt64Milliseconds(duration));
-}
-
 void enableNoDelay(int descriptor)
 {
     const int on = 1;
@@ -83,15 +77,16 @@
             std::this_thread::sleep_for(drainPause);
         m_stopping = true;
         if (connection_pool *pool = m_pool; pool != nullptr)
-            pool->wakeIdle();
+            pool->closeIdle();
     }
 
     http_server_counts counts() const
     {
+        const connection_pool *pool = m_pool;
         return {.connections = m_connections,
                 .exchanges = m_exchanges,
                 .refused = m_refused,
-                .idleClosed = m_idleClosed};
+                .gaveWay = pool == nullptr ? 0 : pool->gaveWay()};
     }
 
 private:
@@ -113,9 +108,9 @@
 
     void serve(int descriptor)
     {
-        connection_stream stream(descriptor, m_options.limits);
+        connection_stream stream(descriptor, m_options.limits, *m_pool);
         bool closed = false;
-        while (!closed && awaitRequest(stream)) {
+        while (!closed && stream.awaitRequest()) {
             stream.beginRequest();
             const http_exchange exchange(stream);
             ++m_exchanges;
@@ -125,38 +120,12 @@
         }
     }
 
-    /** True when a request begins; false when the connection is to be closed. */
-    bool awaitRequest(const connection_stream &stream)
-    {
-        if (stream.hasBufferedBytes())
-            return true;
-        pollfd socket {.fd = stream.socket(), .events = POLLIN, .revents = 0};
-        if (poll(&socket, 1, toMillis(idleGrace)) > 0)
-            return stream.isPeerConnected();
-        const absl::Time end = absl::Now() + m_options.limits.idleTimeout;
-        while (!m_stopping) {
-            const absl::Duration left = end - absl::Now();
-            std::array<pollfd, 2> events {
-                socket, pollfd {.fd = m_pool.load()->crowdedDescriptor(), .events = POLLIN}};
-            if (left <= absl::ZeroDuration() || poll(events.data(), 2, toMillis(left)) <= 0)
-                return false;
-            if (events[0].revents != 0)
-                return stream.isPeerConnected();
-            if (!m_stopping && m_pool.load()->takeCrowded()) {
-                ++m_idleClosed;
-                return false;
-            }
-        }
-        return false;
-    }
-
     const http_server_host_options m_options;
     std::atomic<connection_pool *> m_pool {nullptr};
     std::atomic<bool> m_stopping {false};
     std::atomic<std::uint64_t> m_connections {0};
     std::atomic<std::uint64_t> m_exchanges {0};
     std::atomic<std::uint64_t> m_refused {0};
-    std::atomic<std::uint64_t> m_idleClosed {0};
 };
 
 http_server_host::http_server_host(http_server_host_options options)
--- a/modules/transport/http/http_server_host.h
+++ b/modules/transport/http/http_server_host.h
@@ -34,8 +34,8 @@
     std::uint64_t exchanges = 0;
     /** Connections refused because too many were waiting. */
     std::uint64_t refused = 0;
-    /** Idle connections closed to make room for waiting ones. */
-    std::uint64_t idleClosed = 0;
+    /** Idle or stalling connections closed to make room for waiting ones. */
+    std::uint64_t gaveWay = 0;
 
     bool operator==(const http_server_counts &) const = default;
 };
@@ -43,8 +43,9 @@
 /**
  * Runs a cpp-httplib server on one address with bounded threads, bytes and time.
  *
- * Idle connections give up their thread when others wait. stop() is graceful: no connection is
- * accepted any more, running exchanges finish, idle connections are closed.
+ * Idle connections, and those whose request stalls, give up their thread when others wait. stop()
+ * is graceful: no connection is accepted any more, running exchanges finish, idle connections are
+ * closed.
  */
 class http_server_host
 {
--- a/tests/transport/http_server_host_test.cpp
+++ b/tests/transport/http_server_host_test.cpp
@@ -156,7 +156,7 @@
             THEN("it is answered and idle connections were closed for it")
             {
                 CHECK(receiveUntil(caller, "hello").find("200 OK") != std::string::npos);
-                CHECK(host.counts().idleClosed > 0);
+                CHECK(host.counts().gaveWay > 0);
             }
         }
     }
@@ -207,6 +207,80 @@
     }
 }
 
+SCENARIO("Requests that stall give way to waiting connections")
+{
+    http_server_host_options options = smallServer();
+    options.pool.mostWaiting = 100;
+    options.limits.progressTimeout = absl::Hours(1);
+    options.limits.requestTimeout = absl::Hours(1);
+    http_server_host host(options);
+    addHello(host);
+    host.start();
+
+    GIVEN("more half-sent requests than threads")
+    {
+        std::vector<socket_handle> halves;
+        for (std::size_t index = 0; index < 3 * options.pool.threads; ++index) {
+            halves.push_back(open(host));
+            sendText(halves.back(), "GET /hello HTTP/1.1\r\nX-Part: ");
+        }
+        WHEN("another caller sends a whole request")
+        {
+            const socket_handle caller = open(host);
+            sendText(caller, getRequest);
+            THEN("it is answered")
+            {
+                CHECK(receiveUntil(caller, "hello").find("200 OK") != std::string::npos);
+                CHECK(host.counts().gaveWay > 0);
+            }
+        }
+    }
+    GIVEN("as many callers that send a byte now and then as threads")
+    {
+        std::atomic<bool> done {false};
+        std::thread trickle([&] {
+            std::vector<socket_handle> slow;
+            for (std::size_t index = 0; index < options.pool.threads; ++index)
+                slow.push_back(open(host));
+            while (!done) {
+                for (const socket_handle &socket : slow)
+                    ::send(socket.descriptor(), "x", 1, MSG_NOSIGNAL);
+                absl::SleepFor(absl::Milliseconds(20));
+            }
+        });
+        REQUIRE(waitUntil([&] { return host.counts().exchanges == options.pool.threads; }));
+        WHEN("another caller sends a whole request")
+        {
+            const socket_handle caller = open(host);
+            sendText(caller, getRequest);
+            THEN("it is answered")
+            {
+                CHECK(receiveUntil(caller, "hello").find("200 OK") != std::string::npos);
+            }
+        }
+        done = true;
+        trickle.join();
+    }
+    GIVEN("a half-sent request while nobody waits")
+    {
+        const socket_handle half = open(host);
+        sendText(half, "GET /hello HTTP/1.1\r\nHost: ");
+        REQUIRE(waitUntil([&] { return host.counts().exchanges == 1; }));
+        WHEN("the server stops and the rest is sent afterwards")
+        {
+            std::thread stopping([&] { host.stop(); });
+            CHECK(waitUntil([&] { return isRefused(host.address()); }));
+            absl::SleepFor(absl::Milliseconds(500));
+            sendText(half, "x\r\n\r\n");
+            THEN("it is answered: a planned stop cuts no request")
+            {
+                CHECK(receiveUntil(half, "hello").find("200 OK") != std::string::npos);
+            }
+            stopping.join();
+        }
+    }
+}
+
 SCENARIO("A request that never ends its header")
 {
     http_server_host_options options = smallServer();
