quetzal-load: load on the real processes with every answer checked

Cause: both demonstrations and the tests of real binaries need a caller that knows the right bytes and compares what it was told with what targets executed. Books, stream checker, plan and gap are without I/O. Engines now count busy slot seconds, from which utilisation comes.

--- /dev/null
+++ b/bench/load/answer_checker.cpp
@@ -0,0 +1,156 @@
+#include "bench/load/answer_checker.h"
+
+#include "foundation/hashing/stable_hash.h"
+#include "standins/common/completion_text.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+constexpr int okStatus = 200;
+constexpr std::string_view eventEnd = "\n\n";
+
+/** The value of a field of an SSE event; empty when it is absent. */
+std::string fieldOf(const std::string &event, const std::string &name)
+{
+    const std::string start = name + ": ";
+    std::size_t at = 0;
+    while (at < event.size()) {
+        const std::size_t end = std::min(event.find('\n', at), event.size());
+        if (event.compare(at, start.size(), start) == 0)
+            return event.substr(at + start.size(), end - at - start.size());
+        at = end + 1;
+    }
+    return "";
+}
+
+std::string contentOf(const nlohmann::json &chunk)
+{
+    const auto choices = chunk.find("choices");
+    if (choices == chunk.end() || !choices->is_array() || choices->empty())
+        return "";
+    const nlohmann::json delta = choices->front().value("delta", nlohmann::json::object());
+    return delta.value("content", "");
+}
+
+load_result wrong(int tokens = 0)
+{
+    return {.outcome = load_outcome::Wrong, .code = 0, .execution = "", .tokens = tokens};
+}
+
+load_result whole(int tokens)
+{
+    return {.outcome = load_outcome::Whole, .code = 0, .execution = "", .tokens = tokens};
+}
+
+} // namespace
+
+stream_checker::stream_checker(std::string message, int tokens)
+    : m_message(std::move(message))
+    , m_tokens(tokens)
+{
+}
+
+int stream_checker::add(std::string_view bytes)
+{
+    const int before = m_received;
+    m_pending += bytes;
+    std::size_t end = 0;
+    while ((end = m_pending.find(eventEnd)) != std::string::npos) {
+        readEvent(m_pending.substr(0, end));
+        m_pending.erase(0, end + eventEnd.size());
+    }
+    return m_received - before;
+}
+
+void stream_checker::readEvent(const std::string &event)
+{
+    const std::string data = fieldOf(event, "data");
+    if (data.empty())
+        return;
+    if (m_done || m_error.code != 0) {
+        m_wrong = true;
+        return;
+    }
+    if (data == "[DONE]") {
+        m_done = true;
+        return;
+    }
+    if (fieldOf(event, "event") == "error") {
+        m_error = readRefusal(data);
+        return;
+    }
+    const nlohmann::json chunk = nlohmann::json::parse(data, nullptr, false);
+    const bool right = chunk.is_object() && m_received < m_tokens
+        && contentOf(chunk) == standins::completionToken(m_message, m_received);
+    m_wrong = m_wrong || !right;
+    ++m_received;
+}
+
+load_result stream_checker::finish(bool ended) const
+{
+    if (m_wrong || m_error.outcome == load_outcome::Wrong)
+        return wrong(m_received);
+    if (m_error.code != 0) {
+        load_result result = m_error;
+        result.tokens = m_received;
+        return result;
+    }
+    if (!m_done && !ended)
+        return {.outcome = load_outcome::Broken, .code = 0, .execution = "", .tokens = m_received};
+    if (!m_done || m_received != m_tokens)
+        return wrong(m_received);
+    return whole(m_received);
+}
+
+load_result checkCompletion(int status, const std::string &body, const std::string &message,
+                            int tokens)
+{
+    if (status != okStatus)
+        return readRefusal(body);
+    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+    const nlohmann::json::json_pointer content("/choices/0/message/content");
+    if (!answer.is_object() || !answer.contains(content))
+        return wrong();
+    if (answer[content] != standins::completionText(message, tokens))
+        return wrong();
+    return whole(tokens);
+}
+
+load_result checkPlainAnswer(int status, const std::string &body,
+                             const std::string &callerRequestId, const std::string &method,
+                             const std::string &path, const std::string &sentBody)
+{
+    if (status != okStatus)
+        return readRefusal(body);
+    const nlohmann::json answer = nlohmann::json::parse(body, nullptr, false);
+    if (!answer.is_object())
+        return wrong();
+    const bool right = answer.value("callerRequestId", "") == callerRequestId
+        && answer.value("method", "") == method && answer.value("path", "") == path
+        && answer.value("bodyDigest", "") == sha256Hex(sentBody);
+    return right ? whole(0) : wrong();
+}
+
+load_result readRefusal(const std::string &body)
+{
+    const nlohmann::json refusal = nlohmann::json::parse(body, nullptr, false);
+    if (!refusal.is_object() || !refusal.contains("error") || !refusal["error"].is_object())
+        return wrong();
+    const nlohmann::json &error = refusal["error"];
+    const auto code = error.find("code");
+    const auto execution = error.find("execution");
+    if (code == error.end() || !code->is_number_integer() || execution == error.end()
+        || !execution->is_string())
+        return wrong();
+    return {.outcome = load_outcome::Refused,
+            .code = code->get<int>(),
+            .execution = execution->get<std::string>(),
+            .tokens = 0};
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/load/gap_meter.cpp
@@ -0,0 +1,29 @@
+#include "bench/load/gap_meter.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+void gap_meter::add(const std::map<std::string, sample> &samples)
+{
+    for (auto first = samples.begin(); first != samples.end(); ++first) {
+        for (auto second = std::next(first); second != samples.end(); ++second) {
+            const std::pair key {first->first, second->first};
+            if (!first->second.backlogged || !second->second.backlogged) {
+                m_ranges.erase(key);
+                continue;
+            }
+            const double difference = first->second.service - second->second.service;
+            auto [found, isNew] = m_ranges.try_emplace(key, range {difference, difference});
+            range &seen = found->second;
+            seen.least = std::min(seen.least, difference);
+            seen.most = std::max(seen.most, difference);
+            if (seen.most - seen.least <= m_widest)
+                continue;
+            m_widest = seen.most - seen.least;
+            m_pair = key;
+        }
+    }
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/load/load_account.cpp
@@ -0,0 +1,139 @@
+#include "bench/load/load_account.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+namespace {
+
+const std::string notRun = "not_run";
+
+bool isWithin(const outage_window &window, const logged_execution &execution, absl::Duration grace)
+{
+    return window.dataCentre == execution.dataCentre && execution.started > window.from + grace
+        && execution.started < window.to;
+}
+
+} // namespace
+
+void load_account::start(const load_request &request, absl::Time now)
+{
+    request_state &state = m_requests[request.callerRequestId];
+    state.request = request;
+    state.started = now;
+    ++m_workspaces[request.workspace].sent;
+    ++m_inProgress[{request.workspace, request.service}];
+}
+
+void load_account::addTokens(const std::string &callerRequestId, int count, absl::Time now)
+{
+    request_state &state = m_requests.at(callerRequestId);
+    if (count == 0)
+        return;
+    latency_samples &samples = m_latencies[state.request.workspace];
+    if (state.lastToken == absl::InfinitePast())
+        samples.firstToken.push_back(now - state.started);
+    else
+        samples.betweenTokens.push_back((now - state.lastToken) / count);
+    state.lastToken = now;
+    workspace_account &account = m_workspaces[state.request.workspace];
+    account.tokens += count;
+    if (state.request.answerWeight == 0.0)
+        account.service[state.request.service] += count;
+}
+
+void load_account::finish(const std::string &callerRequestId, const load_result &result,
+                          absl::Time now)
+{
+    request_state &state = m_requests.at(callerRequestId);
+    state.finished = true;
+    state.result = result;
+    --m_inProgress[{state.request.workspace, state.request.service}];
+    workspace_account &account = m_workspaces[state.request.workspace];
+    switch (result.outcome) {
+    case load_outcome::Whole:
+        ++account.whole;
+        account.service[state.request.service] += state.request.answerWeight;
+        m_latencies[state.request.workspace].wholeAnswer.push_back(now - state.started);
+        break;
+    case load_outcome::Wrong:
+        ++account.wrong;
+        break;
+    case load_outcome::Broken:
+        ++account.broken;
+        break;
+    case load_outcome::Refused:
+        ++account.refused[{result.code, result.execution}];
+        break;
+    }
+}
+
+load_violations load_account::reconcile(const std::vector<logged_execution> &executions,
+                                        const std::vector<outage_window> &windows,
+                                        absl::Duration grace) const
+{
+    load_violations violations;
+    std::map<std::string, int> counts;
+    for (const logged_execution &execution : executions) {
+        ++counts[execution.callerRequestId];
+        const bool out = std::ranges::any_of(windows, [&](const outage_window &window) {
+            return isWithin(window, execution, grace);
+        });
+        violations.newWorkWhileOut += out ? 1 : 0;
+    }
+    for (const auto &[id, state] : m_requests) {
+        const auto found = counts.find(id);
+        const int count = found == counts.end() ? 0 : found->second;
+        const load_result &result = state.result;
+        violations.wrongAnswers += result.outcome == load_outcome::Wrong ? 1 : 0;
+        violations.brokenAnswers += result.outcome == load_outcome::Broken ? 1 : 0;
+        if (!state.request.idempotent && count > 1)
+            violations.doubled += count - 1;
+        if (result.outcome == load_outcome::Refused && result.execution == notRun && count > 0)
+            ++violations.notRunButRun;
+        if (result.outcome == load_outcome::Whole && count == 0)
+            ++violations.lost;
+    }
+    return violations;
+}
+
+latency_summary load_account::firstToken(const std::string &workspace) const
+{
+    const auto found = m_latencies.find(workspace);
+    return found == m_latencies.end() ? latency_summary {} : summarise(found->second.firstToken);
+}
+
+latency_summary load_account::betweenTokens(const std::string &workspace) const
+{
+    const auto found = m_latencies.find(workspace);
+    return found == m_latencies.end() ? latency_summary {} : summarise(found->second.betweenTokens);
+}
+
+latency_summary load_account::wholeAnswer(const std::string &workspace) const
+{
+    const auto found = m_latencies.find(workspace);
+    return found == m_latencies.end() ? latency_summary {} : summarise(found->second.wholeAnswer);
+}
+
+int load_account::inProgress(const std::string &workspace, const std::string &service) const
+{
+    const auto found = m_inProgress.find({workspace, service});
+    return found == m_inProgress.end() ? 0 : found->second;
+}
+
+latency_summary summarise(std::vector<absl::Duration> samples)
+{
+    if (samples.empty())
+        return {};
+    std::ranges::sort(samples);
+    const auto at = [&samples](double part) {
+        const auto index = static_cast<std::size_t>(part * static_cast<double>(samples.size()));
+        return samples[std::min(index, samples.size() - 1)];
+    };
+    constexpr double median = 0.5;
+    constexpr double p95 = 0.95;
+    constexpr double p99 = 0.99;
+    return {static_cast<std::int64_t>(samples.size()), at(median), at(p95), at(p99)};
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/load/load_plan.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "bench/load/load_settings.h"
+#include "foundation/random/random_source.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+
+namespace quetzal {
+
+/** One request to be sent. */
+struct planned_request
+{
+    /** When to send it, measured from the start of the run; zero for at once. */
+    absl::Duration at;
+    /** Index into the settings' routers. */
+    int router = 0;
+    load_item item;
+    std::string callerId;
+    /** Last message of a chat request. */
+    std::string message;
+    int tokens = 0;
+    /** Hint to send; 0 for none. */
+    double hint = 0.0;
+
+    bool operator==(const planned_request &) const = default;
+};
+
+/**
+ * Draws the requests of one workspace; the same seed gives the same sequence.
+ *
+ * It has no I/O and no clock.
+ */
+class load_plan
+{
+public:
+    load_plan(const load_workspace &workspace, int routers, std::uint64_t seed);
+
+    /** The next request. */
+    planned_request next();
+
+private:
+    const load_item &drawItem();
+    int drawRouter();
+    int drawTokens(const load_item &item);
+
+    load_workspace m_workspace;
+    int m_routers;
+    std::uint64_t m_seed;
+    random_source m_random;
+    std::int64_t m_number = 0;
+    absl::Duration m_arrival;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/load/load_report.cpp
@@ -0,0 +1,186 @@
+#include "bench/load/load_report.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+
+namespace quetzal {
+
+namespace {
+
+nlohmann::json latencyJson(const latency_summary &summary)
+{
+    return {{"samples", summary.samples},
+            {"p50Ms", absl::ToDoubleMilliseconds(summary.median)},
+            {"p95Ms", absl::ToDoubleMilliseconds(summary.p95)},
+            {"p99Ms", absl::ToDoubleMilliseconds(summary.p99)}};
+}
+
+nlohmann::json refusalsJson(const workspace_account &account)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[reason, count] : account.refused)
+        list.push_back({{"code", reason.first}, {"execution", reason.second}, {"count", count}});
+    return list;
+}
+
+nlohmann::json workspaceJson(const std::string &name, double share, const load_account &books)
+{
+    const auto found = books.workspaces().find(name);
+    const workspace_account account
+        = found == books.workspaces().end() ? workspace_account {} : found->second;
+    return {{"workspace", name},
+            {"share", share},
+            {"sent", account.sent},
+            {"whole", account.whole},
+            {"wrong", account.wrong},
+            {"broken", account.broken},
+            {"tokens", account.tokens},
+            {"service", account.service},
+            {"refused", refusalsJson(account)},
+            {"firstToken", latencyJson(books.firstToken(name))},
+            {"betweenTokens", latencyJson(books.betweenTokens(name))},
+            {"wholeAnswer", latencyJson(books.wholeAnswer(name))}};
+}
+
+/** Largest cost of one request divided by its workspace's share, over all requests of a service. */
+double largestWeightedRequest(const load_settings &settings, const configuration_document &document,
+                              const service_definition &service)
+{
+    double largest = 0.0;
+    for (const load_workspace &workspace : settings.workspaces) {
+        const workspace_definition *definition = document.findWorkspace(workspace.name);
+        for (const load_item &item : workspace.mix) {
+            if (definition == nullptr || item.service != service.name)
+                continue;
+            const auto kind
+                = std::ranges::find(service.requestKinds, item.kind, &request_kind::name);
+            const double weight = kind == service.requestKinds.end() ? 1.0 : kind->weight;
+            const double cost = service.unit == service_unit::Tokens ? item.mostTokens : weight;
+            largest = std::max(largest, cost / definition->share);
+        }
+    }
+    return largest;
+}
+
+nlohmann::json gapsJson(const load_settings &settings, const configuration_document &document,
+                        const std::map<std::string, gap_meter> &gaps)
+{
+    nlohmann::json list = nlohmann::json::array();
+    for (const auto &[service, meter] : gaps) {
+        const double largest
+            = largestWeightedRequest(settings, document, *document.findService(service));
+        list.push_back({{"service", service},
+                        {"widest", meter.widest()},
+                        {"largestWeightedRequest", largest},
+                        {"inLargestRequests", largest > 0.0 ? meter.widest() / largest : 0.0},
+                        {"between", {meter.pair().first, meter.pair().second}}});
+    }
+    return list;
+}
+
+nlohmann::json violationsJson(const load_violations &violations)
+{
+    return {{"wrongAnswers", violations.wrongAnswers},
+            {"brokenAnswers", violations.brokenAnswers},
+            {"doubled", violations.doubled},
+            {"notRunButRun", violations.notRunButRun},
+            {"lost", violations.lost},
+            {"newWorkWhileOut", violations.newWorkWhileOut}};
+}
+
+std::string refusalsText(const nlohmann::json &refused)
+{
+    std::string text;
+    for (const nlohmann::json &entry : refused) {
+        absl::StrAppend(&text, text.empty() ? "" : " ", entry["code"].get<int>(), "/",
+                        entry["execution"].get<std::string>(), ":", entry["count"].get<int>());
+    }
+    return text.empty() ? "-" : text;
+}
+
+double totalService(const nlohmann::json &row)
+{
+    double total = 0.0;
+    for (const auto &[service, amount] : row["service"].items())
+        total += amount.get<double>();
+    return total;
+}
+
+void appendWorkspaces(std::string &text, const nlohmann::json &rows)
+{
+    absl::StrAppendFormat(&text, "%-22s %6s %7s %7s %9s %10s %8s %8s %8s  %s\n", "workspace",
+                          "share", "sent", "whole", "service", "per share", "ttft p50", "ttft p95",
+                          "itl p95", "refused code/execution:count");
+    for (const nlohmann::json &row : rows) {
+        const double service = totalService(row);
+        absl::StrAppendFormat(
+            &text, "%-22s %6.2f %7d %7d %9.0f %10.1f %8.0f %8.0f %8.1f  %s\n",
+            row["workspace"].get<std::string>(), row["share"].get<double>(), row["sent"].get<int>(),
+            row["whole"].get<int>(), service, service / row["share"].get<double>(),
+            row["firstToken"]["p50Ms"].get<double>(), row["firstToken"]["p95Ms"].get<double>(),
+            row["betweenTokens"]["p95Ms"].get<double>(), refusalsText(row["refused"]));
+    }
+}
+
+void appendMap(std::string &text, const std::string &title, const nlohmann::json &values,
+               const std::string &format)
+{
+    absl::StrAppend(&text, title, ":");
+    const auto parsed = absl::ParsedFormat<'f'>::New(format);
+    for (const auto &[name, value] : values.items())
+        absl::StrAppend(&text, " ", name, "=", absl::StrFormat(*parsed, value.get<double>()));
+    absl::StrAppend(&text, values.empty() ? " not measured\n" : "\n");
+}
+
+} // namespace
+
+nlohmann::json reportJson(const load_settings &settings, const configuration_document &document,
+                          const load_account &account, const std::map<std::string, gap_meter> &gaps,
+                          const load_findings &findings)
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const load_workspace &workspace : settings.workspaces) {
+        const workspace_definition *definition = document.findWorkspace(workspace.name);
+        const double share = definition == nullptr ? 1.0 : definition->share;
+        rows.push_back(workspaceJson(workspace.name, share, account));
+    }
+    return {{"seed", settings.seed},
+            {"durationSeconds", absl::ToDoubleSeconds(findings.duration)},
+            {"workspaces", rows},
+            {"gaps", gapsJson(settings, document, gaps)},
+            {"utilisation", findings.utilisation},
+            {"controlBytesPerSecond", findings.controlBytesPerSecond},
+            {"executions", findings.executions},
+            {"coldLimitExceeded", findings.coldLimitExceeded},
+            {"outageWindows", findings.outageWindows},
+            {"violations", violationsJson(findings.violations)},
+            {"holds", !findings.violations.any()}};
+}
+
+std::string reportTable(const nlohmann::json &report)
+{
+    std::string text;
+    appendWorkspaces(text, report["workspaces"]);
+    text += "\n";
+    for (const nlohmann::json &gap : report["gaps"]) {
+        absl::StrAppendFormat(
+            &text, "gap %s: %.2f largest weighted requests (%.1f, %s against %s)\n",
+            gap["service"].get<std::string>(), gap["inLargestRequests"].get<double>(),
+            gap["widest"].get<double>(), gap["between"][0].get<std::string>(),
+            gap["between"][1].get<std::string>());
+    }
+    appendMap(text, "utilisation of engine slots", report["utilisation"], "%.3f");
+    appendMap(text, "control bytes a second", report["controlBytesPerSecond"], "%.0f");
+    appendMap(text, "executions", report["executions"], "%.0f");
+    absl::StrAppend(&text, "cold limit exceeded: ", report["coldLimitExceeded"].get<int>(), "\n");
+    absl::StrAppend(&text, "outage windows watched: ", report["outageWindows"].get<int>(), "\n");
+    text += "must be zero:";
+    for (const auto &[name, count] : report["violations"].items())
+        absl::StrAppend(&text, " ", name, "=", count.get<int>());
+    absl::StrAppend(&text, "\n", report["holds"].get<bool>() ? "holds" : "DOES NOT HOLD", "\n");
+    return text;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/load/load_report.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "bench/load/fleet_reader.h"
+#include "bench/load/gap_meter.h"
+#include "bench/load/load_account.h"
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+
+namespace quetzal {
+
+/** Everything that a run has shown. */
+struct load_findings
+{
+    absl::Duration duration;
+    load_violations violations;
+    /** Part of the slots in service while the load was sent, by data centre. */
+    std::map<std::string, double> utilisation;
+    /** Control bytes a second by VM. */
+    std::map<std::string, double> controlBytesPerSecond;
+    int coldLimitExceeded = 0;
+    /** Executions begun, by data centre. */
+    std::map<std::string, std::int64_t> executions;
+    /** Times in which a data centre was out and watched for new work. */
+    int outageWindows = 0;
+};
+
+/** The findings as JSON. */
+nlohmann::json reportJson(const load_settings &settings, const configuration_document &document,
+                          const load_account &account, const std::map<std::string, gap_meter> &gaps,
+                          const load_findings &findings);
+
+/** The report as tables for people. */
+std::string reportTable(const nlohmann::json &report);
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/load/load_runner.cpp
@@ -0,0 +1,128 @@
+#include "bench/load/load_runner.h"
+
+#include "bench/load/request_sender.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/time/clock.h>
+
+#include <algorithm>
+#include <thread>
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+constexpr absl::Duration samplePeriod = absl::Milliseconds(100);
+
+} // namespace
+
+load_runner::load_runner(load_settings settings, configuration_document document)
+    : m_settings(std::move(settings))
+    , m_document(std::move(document))
+{
+    const int routers = static_cast<int>(m_settings.routers.size());
+    for (const load_workspace &workspace : m_settings.workspaces) {
+        m_workspaces.push_back(
+            std::make_unique<workspace_state>(workspace, routers, m_settings.seed));
+    }
+}
+
+void load_runner::run(const std::function<void()> &onDuration)
+{
+    m_start = absl::Now();
+    m_end = m_start + m_settings.duration;
+    std::thread sampler([this, &onDuration] {
+        sampleGaps();
+        onDuration();
+    });
+    std::vector<std::thread> workers;
+    for (const auto &state : m_workspaces) {
+        for (int worker = 0; worker < state->settings.concurrency; ++worker)
+            workers.emplace_back([this, &state] { work(*state); });
+    }
+    for (std::thread &worker : workers)
+        worker.join();
+    m_finished = true;
+    sampler.join();
+}
+
+void load_runner::work(workspace_state &state)
+{
+    while (absl::Now() < m_end && m_sent.fetch_add(1) < m_settings.mostRequests) {
+        if (!sendNext(state))
+            return;
+    }
+}
+
+bool load_runner::sendNext(workspace_state &state)
+{
+    planned_request planned;
+    {
+        const std::lock_guard lock(state.mutex);
+        planned = state.plan.next();
+    }
+    if (m_start + planned.at >= m_end)
+        return false;
+    absl::SleepFor(m_start + planned.at - absl::Now());
+
+    const std::string id = absl::StrCat(state.settings.name, "/", planned.callerId);
+    {
+        const std::lock_guard lock(m_mutex);
+        m_account.start({id, state.settings.name, planned.item.service,
+                         planned.item.call != load_call::Plain || planned.item.idempotent,
+                         answerWeight(planned.item)},
+                        absl::Now());
+    }
+    const request_sender sender(m_settings, state.settings);
+    const load_result result = sender.send(planned, [&](int tokens) {
+        const std::lock_guard lock(m_mutex);
+        m_account.addTokens(id, tokens, absl::Now());
+    });
+    {
+        const std::lock_guard lock(m_mutex);
+        m_account.finish(id, result, absl::Now());
+    }
+    if (result.outcome != load_outcome::Whole)
+        absl::SleepFor(m_settings.pauseAfterRefusal);
+    return true;
+}
+
+void load_runner::sampleGaps()
+{
+    while (!m_finished && absl::Now() < m_end) {
+        absl::SleepFor(samplePeriod);
+        const std::lock_guard lock(m_mutex);
+        takeGapSample();
+    }
+}
+
+void load_runner::takeGapSample()
+{
+    for (const service_definition &service : m_document.services) {
+        std::map<std::string, gap_meter::sample> samples;
+        for (const load_workspace &workspace : m_settings.workspaces) {
+            const workspace_definition *definition = m_document.findWorkspace(workspace.name);
+            const auto account = m_account.workspaces().find(workspace.name);
+            if (definition == nullptr || account == m_account.workspaces().end())
+                continue;
+            const auto served = account->second.service.find(service.name);
+            const double total = served == account->second.service.end() ? 0.0 : served->second;
+            const bool backlogged = workspace.ratePerSecond == 0.0
+                && m_account.inProgress(workspace.name, service.name) >= workspace.backloggedFrom;
+            samples[workspace.name] = {total / definition->share, backlogged};
+        }
+        m_gaps[service.name].add(samples);
+    }
+}
+
+double load_runner::answerWeight(const load_item &item) const
+{
+    const service_definition *service = m_document.findService(item.service);
+    if (service == nullptr || service->unit == service_unit::Tokens)
+        return 0.0;
+    const auto kind = std::ranges::find(service->requestKinds, item.kind, &request_kind::name);
+    return kind == service->requestKinds.end() ? 1.0 : kind->weight;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/load/load_runner.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "bench/load/gap_meter.h"
+#include "bench/load/load_account.h"
+#include "bench/load/load_plan.h"
+#include "bench/load/load_settings.h"
+
+#include <absl/time/time.h>
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace quetzal {
+
+/** Sends the whole load on threads of its own and keeps the books. */
+class load_runner
+{
+public:
+    load_runner(load_settings settings, configuration_document document);
+
+    /**
+     * Runs for the duration of the settings and until the last request has ended; calls onDuration
+     * on another thread when the duration is over and the last requests still run.
+     */
+    void run(const std::function<void()> &onDuration);
+
+    const load_account &account() const { return m_account; }
+    /** Gap of each service, by its name. */
+    const std::map<std::string, gap_meter> &gaps() const { return m_gaps; }
+
+private:
+    struct workspace_state
+    {
+        workspace_state(const load_workspace &workspace, int routers, std::uint64_t seed)
+            : settings(workspace)
+            , plan(workspace, routers, seed)
+        {
+        }
+
+        const load_workspace &settings;
+        load_plan plan;
+        std::mutex mutex;
+    };
+
+    void work(workspace_state &state);
+    bool sendNext(workspace_state &state);
+    void sampleGaps();
+    void takeGapSample();
+    double answerWeight(const load_item &item) const;
+
+    load_settings m_settings;
+    configuration_document m_document;
+    std::vector<std::unique_ptr<workspace_state>> m_workspaces;
+    absl::Time m_start;
+    absl::Time m_end;
+    std::atomic<std::int64_t> m_sent = 0;
+    std::atomic<bool> m_finished = false;
+    mutable std::mutex m_mutex;
+    load_account m_account;
+    std::map<std::string, gap_meter> m_gaps;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/load/load_settings.cpp
@@ -0,0 +1,142 @@
+#include "bench/load/load_settings.h"
+
+#include <algorithm>
+#include <cstdlib>
+
+namespace quetzal {
+
+namespace {
+
+constexpr int mostPort = 65535;
+constexpr int mostConcurrency = 512;
+constexpr int mostTokens = 65536;
+constexpr double mostWeight = 1e6;
+constexpr double mostSeconds = 3600.0;
+constexpr double mostMs = 3600000.0;
+constexpr std::int64_t mostRequests = 1000000;
+
+load_address readAddress(json_reader &reader)
+{
+    return {reader.requiredString("ip"),
+            static_cast<int>(reader.requiredInteger("port", 1, mostPort))};
+}
+
+load_call readCall(json_reader &reader)
+{
+    const std::string call = reader.requiredString("call");
+    if (call == "streamedChat")
+        return load_call::StreamedChat;
+    if (call == "chat")
+        return load_call::Chat;
+    if (!call.empty() && call != "plain")
+        reader.fault("call", "must be \"streamedChat\", \"chat\" or \"plain\"");
+    return load_call::Plain;
+}
+
+load_item readItem(json_reader &reader)
+{
+    load_item item;
+    item.call = readCall(reader);
+    item.service = reader.requiredString("service");
+    item.weight = reader.optionalNumber("weight", 0.0, mostWeight, item.weight);
+    item.model = reader.optionalString("model", "");
+    item.leastTokens
+        = static_cast<int>(reader.optionalInteger("leastTokens", 1, mostTokens, item.leastTokens));
+    item.mostTokens
+        = static_cast<int>(reader.optionalInteger("mostTokens", 1, mostTokens, item.mostTokens));
+    item.hintFactor = reader.optionalNumber("hintFactor", 0.0, mostWeight, item.hintFactor);
+    item.kind = reader.optionalString("kind", "");
+    item.method = reader.optionalString("method", item.method);
+    item.path = reader.optionalString("path", item.path);
+    item.idempotent = reader.optionalBoolean("idempotent", false);
+    if (item.mostTokens < item.leastTokens)
+        reader.fault("mostTokens", "must not be below leastTokens");
+    reader.finish();
+    return item;
+}
+
+std::vector<int> readRouters(json_reader &reader, std::size_t routers)
+{
+    std::vector<int> indexes;
+    for (const std::string &text : reader.optionalStrings("routers")) {
+        const int index = std::atoi(text.c_str());
+        if (index < 0 || static_cast<std::size_t>(index) >= routers)
+            reader.fault("routers", "names a router that is not listed");
+        else
+            indexes.push_back(index);
+    }
+    return indexes;
+}
+
+load_workspace readWorkspace(json_reader &reader, std::size_t routers)
+{
+    load_workspace workspace;
+    workspace.name = reader.requiredString("name");
+    workspace.key = reader.requiredString("key");
+    workspace.concurrency
+        = static_cast<int>(reader.optionalInteger("concurrency", 1, mostConcurrency, 1));
+    workspace.backloggedFrom = static_cast<int>(reader.optionalInteger(
+        "backloggedFrom", 1, mostConcurrency, std::max(1, workspace.concurrency / 2)));
+    workspace.ratePerSecond = reader.optionalNumber("ratePerSecond", 0.0, mostWeight, 0.0);
+    workspace.routers = readRouters(reader, routers);
+    for (json_reader &item : reader.objects("mix"))
+        workspace.mix.push_back(readItem(item));
+    if (workspace.mix.empty())
+        reader.fault("mix", "must name at least one request");
+    reader.finish();
+    return workspace;
+}
+
+load_target readTarget(json_reader &reader)
+{
+    load_target target {readAddress(reader), reader.optionalString("dataCentre", "")};
+    reader.finish();
+    return target;
+}
+
+load_node readNode(json_reader &reader)
+{
+    load_node node {reader.requiredString("vm"), readAddress(reader)};
+    reader.finish();
+    return node;
+}
+
+} // namespace
+
+load_settings_reading readLoadSettings(std::string_view text)
+{
+    load_settings_reading result;
+    const json_parse_result parsed = parseJsonWithComments(text);
+    result.faults = parsed.faults;
+    if (!parsed.document)
+        return result;
+    json_reader reader(*parsed.document, "", result.faults);
+    load_settings &settings = result.settings;
+    for (json_reader &item : reader.objects("routers")) {
+        settings.routers.push_back(readAddress(item));
+        item.finish();
+    }
+    for (json_reader &item : reader.objects("targets"))
+        settings.targets.push_back(readTarget(item));
+    for (json_reader &item : reader.objects("nodes"))
+        settings.nodes.push_back(readNode(item));
+    settings.documentPath = reader.requiredString("document");
+    for (json_reader &item : reader.objects("workspaces"))
+        settings.workspaces.push_back(readWorkspace(item, settings.routers.size()));
+    settings.seed = static_cast<std::uint64_t>(reader.optionalInteger("seed", 0, 1LL << 62, 1));
+    settings.duration = absl::Seconds(reader.optionalNumber(
+        "durationSeconds", 0.1, mostSeconds, absl::ToDoubleSeconds(settings.duration)));
+    settings.deadline = absl::Milliseconds(reader.optionalNumber(
+        "deadlineMs", 1.0, mostMs, absl::ToDoubleMilliseconds(settings.deadline)));
+    settings.mostRequests
+        = reader.optionalInteger("mostRequests", 1, mostRequests, settings.mostRequests);
+    settings.pauseAfterRefusal = absl::Milliseconds(
+        reader.optionalNumber("pauseAfterRefusalMs", 0.0, mostMs,
+                              absl::ToDoubleMilliseconds(settings.pauseAfterRefusal)));
+    if (settings.routers.empty())
+        reader.fault("routers", "must name at least one router");
+    reader.finish();
+    return result;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/bench/load/request_sender.cpp
@@ -0,0 +1,121 @@
+#include "bench/load/request_sender.h"
+
+#include <absl/strings/str_cat.h>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+namespace quetzal {
+
+namespace {
+
+constexpr int okStatus = 200;
+constexpr time_t connectSeconds = 2;
+/** Time beyond the deadline after which an answer counts as broken. */
+constexpr absl::Duration readMargin = absl::Seconds(10);
+
+std::string chatBody(const planned_request &request)
+{
+    const nlohmann::json message = {{"role", "user"}, {"content", request.message}};
+    return nlohmann::json {{"model", request.item.model},
+                           {"messages", nlohmann::json::array({message})},
+                           {"max_tokens", request.tokens},
+                           {"stream", request.item.call == load_call::StreamedChat}}
+        .dump();
+}
+
+httplib::Request httpRequest(const load_settings &settings, const load_workspace &workspace,
+                             const planned_request &planned)
+{
+    httplib::Request request;
+    const bool plain = planned.item.call == load_call::Plain;
+    request.method = plain ? planned.item.method : "POST";
+    request.path = plain ? absl::StrCat("/services/", planned.item.service, planned.item.path)
+                         : "/v1/chat/completions";
+    if (!plain)
+        request.body = chatBody(planned);
+    else if (request.method != "GET")
+        request.body = planned.message;
+    request.set_header("Authorization", "Bearer " + workspace.key);
+    request.set_header("Content-Type", plain ? "text/plain" : "application/json");
+    request.set_header("Quetzal-Request-Id", planned.callerId);
+    request.set_header("Quetzal-Deadline-Ms",
+                       std::to_string(absl::ToInt64Milliseconds(settings.deadline)));
+    if (planned.hint > 0.0)
+        request.set_header("Quetzal-Cost-Hint", std::to_string(planned.hint));
+    if (!planned.item.kind.empty())
+        request.set_header("Quetzal-Request-Kind", planned.item.kind);
+    return request;
+}
+
+/** The answer's status and body as far as they came. */
+struct received_answer
+{
+    int status = 0;
+    std::string body;
+};
+
+} // namespace
+
+request_sender::request_sender(const load_settings &settings, const load_workspace &workspace)
+    : m_settings(settings)
+    , m_workspace(workspace)
+{
+}
+
+load_result request_sender::send(const planned_request &request,
+                                 const token_callback &onTokens) const
+{
+    const std::size_t count = m_settings.routers.size();
+    load_result result;
+    for (std::size_t attempt = 0; attempt < count; ++attempt) {
+        const std::size_t index = (static_cast<std::size_t>(request.router) + attempt) % count;
+        bool connected = false;
+        result = sendTo(m_settings.routers[index], request, onTokens, connected);
+        if (connected)
+            break;
+    }
+    return result;
+}
+
+load_result request_sender::sendTo(const load_address &router, const planned_request &request,
+                                   const token_callback &onTokens, bool &connected) const
+{
+    httplib::Client client(router.ip, router.port);
+    client.set_connection_timeout(connectSeconds);
+    client.set_read_timeout(absl::ToInt64Seconds(m_settings.deadline + readMargin));
+    client.set_tcp_nodelay(true);
+
+    httplib::Request http = httpRequest(m_settings, m_workspace, request);
+    const bool streamed = request.item.call == load_call::StreamedChat;
+    stream_checker checker(request.message, request.tokens);
+    received_answer answer;
+    http.response_handler = [&answer](const httplib::Response &response) {
+        answer.status = response.status;
+        return true;
+    };
+    http.content_receiver = [&](const char *data, std::size_t size, std::uint64_t, std::uint64_t) {
+        if (streamed && answer.status == okStatus)
+            onTokens(checker.add({data, size}));
+        else
+            answer.body.append(data, size);
+        return true;
+    };
+    const httplib::Result result = client.send(http);
+    connected = result || result.error() != httplib::Error::Connection;
+
+    if (streamed && answer.status == okStatus)
+        return checker.finish(static_cast<bool>(result));
+    if (!result)
+        return {};
+    if (request.item.call != load_call::Plain) {
+        const load_result checked
+            = checkCompletion(answer.status, answer.body, request.message, request.tokens);
+        onTokens(checked.tokens);
+        return checked;
+    }
+    return checkPlainAnswer(answer.status, answer.body,
+                            absl::StrCat(m_workspace.name, "/", request.callerId), http.method,
+                            request.item.path, http.body);
+}
+
+} // namespace quetzal
--- a/standins/engine/engine_model.cpp
+++ b/standins/engine/engine_model.cpp
@@ -11,6 +11,7 @@
     : m_options(std::move(options))
     , m_started(now)
     , m_startsWarm(m_options.startsWarm)
+    , m_busyUntil(now)
 {
     sampleLoad(now);
 }
@@ -182,6 +183,7 @@
 void engine_model::advance(absl::Time now)
 {
     while (endNextDue(now)) { }
+    countBusy(now);
 }
 
 bool engine_model::endNextDue(absl::Time now)
@@ -201,6 +203,7 @@
     if (next.empty() || when > now)
         return false;
 
+    countBusy(when);
     request_state &request = m_requests.at(next);
     const bool whole = dueTime(request) <= when;
     endRequest(request, whole ? execution_phase::Done : execution_phase::Cancelled, when);
@@ -266,6 +269,14 @@
         m_samples.pop_front();
 }
 
+void engine_model::countBusy(absl::Time when)
+{
+    if (when <= m_busyUntil)
+        return;
+    m_counts.busy += static_cast<double>(m_running.size()) * (when - m_busyUntil);
+    m_busyUntil = when;
+}
+
 execution_phase engine_model::phaseOf(const request_state &request) const
 {
     return m_log[request.record].phase;
--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -78,6 +78,8 @@
     std::int64_t cancelled = 0;
     std::int64_t ordersTaken = 0;
     std::int64_t ordersRefused = 0;
+    /** Sum over the slots of the time in which each was generating. */
+    absl::Duration busy;
 
     bool operator==(const engine_counts &) const = default;
 };
@@ -151,6 +153,8 @@
     absl::Time abandonTime(const request_state &request) const;
     engine_load presentLoad() const;
     void sampleLoad(absl::Time when);
+    /** Counts the running slots as busy until when; call before the running requests change. */
+    void countBusy(absl::Time when);
     execution_phase phaseOf(const request_state &request) const;
 
     engine_options m_options;
@@ -165,6 +169,7 @@
     std::map<std::string, request_state> m_requests;
     std::deque<std::string> m_running;
     std::deque<std::string> m_waiting;
+    absl::Time m_busyUntil;
     std::deque<load_sample> m_samples;
 };
 
--- a/standins/engine/engine_server.cpp
+++ b/standins/engine/engine_server.cpp
@@ -377,6 +377,7 @@
 void engine_server::reportCounts(httplib::Response &response)
 {
     const std::lock_guard lock(m_mutex);
+    m_model.reportedLoad(absl::Now());
     const engine_counts &counts = m_model.counts();
     answerJson(response,
                {{"executions", counts.executions},
@@ -386,7 +387,9 @@
                 {"refused", counts.refused},
                 {"cancelled", counts.cancelled},
                 {"ordersTaken", counts.ordersTaken},
-                {"ordersRefused", counts.ordersRefused}});
+                {"ordersRefused", counts.ordersRefused},
+                {"slots", m_model.options().slots},
+                {"busySlotSeconds", absl::ToDoubleSeconds(counts.busy)}});
 }
 
 engine_progress engine_server::progressOf(const std::string &requestId)
--- /dev/null
+++ b/tests/load/load_account_test.cpp
@@ -0,0 +1,141 @@
+#include "bench/load/gap_meter.h"
+#include "bench/load/load_account.h"
+
+#include <catch2/catch.hpp>
+
+using namespace quetzal;
+
+namespace {
+
+const absl::Time start = absl::FromUnixSeconds(1000);
+
+const load_result whole {load_outcome::Whole, 0, "", 0};
+const load_result notRun {load_outcome::Refused, 2001, "not_run", 0};
+const load_result unknown {load_outcome::Refused, 3001, "outcome_unknown", 0};
+
+load_request booking(const std::string &id)
+{
+    return {"town/" + id, "town", "roster-app", false, 2.0};
+}
+
+load_request chat(const std::string &id)
+{
+    return {"town/" + id, "town", "roster-llm", true, 0.0};
+}
+
+logged_execution executed(const std::string &id, absl::Duration at = absl::ZeroDuration())
+{
+    return {"town/" + id, "nashua", start + at};
+}
+
+} // namespace
+
+SCENARIO("the books of a load run show what must not happen")
+{
+    load_account account;
+    const auto finish = [&account](const load_request &request, const load_result &result) {
+        account.start(request, start);
+        account.finish(request.callerRequestId, result, start + absl::Seconds(1));
+    };
+    const auto violations = [&account](const std::vector<logged_execution> &executions) {
+        return account.reconcile(executions, {}, absl::Seconds(3));
+    };
+
+    GIVEN("a booking answered whole")
+    {
+        finish(booking("a"), whole);
+        THEN("one execution is right, none is a loss, two are doubled")
+        {
+            CHECK_FALSE(violations({executed("a")}).any());
+            CHECK(violations({}).lost == 1);
+            CHECK(violations({executed("a"), executed("a"), executed("a")}).doubled == 2);
+        }
+    }
+    GIVEN("a booking whose outcome is unknown")
+    {
+        finish(booking("a"), unknown);
+        THEN("it may have run, but only once")
+        {
+            CHECK_FALSE(violations({}).any());
+            CHECK_FALSE(violations({executed("a")}).any());
+            CHECK(violations({executed("a"), executed("a")}).doubled == 1);
+        }
+    }
+    GIVEN("a request told that it was not run")
+    {
+        finish(chat("a"), notRun);
+        THEN("no execution may be logged")
+        {
+            CHECK_FALSE(violations({}).any());
+            CHECK(violations({executed("a")}).notRunButRun == 1);
+        }
+    }
+    GIVEN("a model request that was retried")
+    {
+        finish(chat("a"), whole);
+        CHECK_FALSE(violations({executed("a"), executed("a")}).any());
+    }
+    GIVEN("a wrong answer and one that broke off")
+    {
+        finish(chat("a"), {load_outcome::Wrong, 0, "", 3});
+        finish(chat("b"), {load_outcome::Broken, 0, "", 3});
+        CHECK(violations({}).wrongAnswers == 1);
+        CHECK(violations({}).brokenAnswers == 1);
+    }
+    GIVEN("a data centre taken out for ten seconds")
+    {
+        const std::vector<outage_window> windows {{"nashua", start, start + absl::Seconds(10)}};
+        const auto newWork = [&](absl::Duration at) {
+            return account.reconcile({executed("a", at)}, windows, absl::Seconds(3))
+                .newWorkWhileOut;
+        };
+        CHECK(newWork(absl::Seconds(3)) == 0);
+        CHECK(newWork(absl::Milliseconds(3001)) == 1);
+        CHECK(newWork(absl::Seconds(10)) == 0);
+    }
+}
+
+SCENARIO("service and latencies are counted for each workspace")
+{
+    load_account account;
+    account.start(chat("a"), start);
+    account.start(booking("b"), start);
+    CHECK(account.inProgress("town", "roster-llm") == 1);
+    account.addTokens("town/a", 1, start + absl::Milliseconds(300));
+    account.addTokens("town/a", 2, start + absl::Milliseconds(340));
+    account.finish("town/a", whole, start + absl::Seconds(1));
+    account.finish("town/b", whole, start + absl::Seconds(2));
+
+    const workspace_account &books = account.workspaces().at("town");
+    CHECK(books.tokens == 3);
+    CHECK(books.service.at("roster-llm") == 3.0);
+    CHECK(books.service.at("roster-app") == 2.0);
+    CHECK(account.firstToken("town").median == absl::Milliseconds(300));
+    CHECK(account.betweenTokens("town").median == absl::Milliseconds(20));
+    CHECK(account.inProgress("town", "roster-llm") == 0);
+    CHECK(summarise({absl::Seconds(2), absl::Seconds(1)}).p99 == absl::Seconds(2));
+}
+
+SCENARIO("the gap is the widest over every interval in which both are backlogged")
+{
+    gap_meter meter;
+    const auto add = [&meter](double first, double second, bool backlogged = true) {
+        meter.add({{"a", {first, true}}, {"b", {second, backlogged}}});
+    };
+    add(0, 0);
+    add(10, 4);
+    add(10, 13);
+    CHECK(meter.widest() == 9.0);
+    CHECK(meter.pair() == std::pair<std::string, std::string>("a", "b"));
+
+    WHEN("one has nothing waiting in between")
+    {
+        add(50, 13, false);
+        add(50, 13);
+        add(52, 13);
+        THEN("that time does not count")
+        {
+            CHECK(meter.widest() == 9.0);
+        }
+    }
+}
--- a/tests/standins/engine_model_test.cpp
+++ b/tests/standins/engine_model_test.cpp
@@ -60,6 +60,7 @@
             CHECK(engine.progress("a", start + absl::Seconds(3)).phase == execution_phase::Done);
             CHECK(engine.progress("c", start + absl::Seconds(3)).tokensReady == 1);
             CHECK(engine.progress("c", start + absl::Seconds(4)).phase == execution_phase::Done);
+            CHECK(engine.counts().busy == absl::Seconds(2 + 3 + 2));
         }
     }
 
--- a/tests/standins/store_model_test.cpp
+++ b/tests/standins/store_model_test.cpp
@@ -164,6 +164,7 @@
             }
         }
         std::vector<stored_key> keys;
+        keys.reserve(replayed.size());
         for (const auto &[name, key] : replayed)
             keys.push_back(key);
         RC_ASSERT(keys == store.range(all, now));
