Stream checker test: the wrong token stands where the count is right

The former stream was one token short, so that taking out the comparison of tokens was not noticed; now it is (seen failing without the comparison).

--- a/tests/load/answer_checker_test.cpp
+++ b/tests/load/answer_checker_test.cpp
@@ -47,7 +47,7 @@
     CHECK(check(events(4) + done).outcome == load_outcome::Wrong);
     CHECK(check(events(3)).outcome == load_outcome::Wrong);
     CHECK(check(events(2), false).outcome == load_outcome::Broken);
-    CHECK(check(events(1) + event(" wrong") + done).outcome == load_outcome::Wrong);
+    CHECK(check(events(2) + event(" wrong") + done).outcome == load_outcome::Wrong);
     CHECK(check(events(3) + done + events(1)).outcome == load_outcome::Wrong);
     CHECK(check(events(2) + "event: error\ndata: " + refusal + "\n\n")
           == load_result {load_outcome::Refused, 3002, "outcome_unknown", 2});
