quetzal-load: several independent flows for a workspace

A workspace streams reconciliations without a pause and books shifts now and then; one mix could not say both. Each flow has its own rate or concurrency, mix and sequence of request ids.

--- a/bench/load/load_plan.cpp
+++ b/bench/load/load_plan.cpp
@@ -9,11 +9,13 @@
 
 namespace quetzal {
 
-load_plan::load_plan(const load_workspace &workspace, int routers, std::uint64_t seed)
-    : m_workspace(workspace)
+load_plan::load_plan(const load_workspace &workspace, std::size_t flow, int routers,
+                     std::uint64_t seed)
+    : m_workspace(workspace.name)
+    , m_flow(workspace.flows.at(flow))
+    , m_idPrefix(absl::StrCat("r", seed, "-", flow, "-"))
     , m_routers(routers)
-    , m_seed(seed)
-    , m_random(stableHash(workspace.name, seed))
+    , m_random(stableHash(absl::StrCat(workspace.name, "/", flow), seed))
 {
 }
 
@@ -21,15 +23,15 @@
 {
     ++m_number;
     planned_request request;
-    if (m_workspace.ratePerSecond > 0.0) {
-        m_arrival += absl::Seconds(-std::log(1.0 - m_random.uniform()) / m_workspace.ratePerSecond);
+    if (m_flow.ratePerSecond > 0.0) {
+        m_arrival += absl::Seconds(-std::log(1.0 - m_random.uniform()) / m_flow.ratePerSecond);
         request.at = m_arrival;
     }
     request.router = drawRouter();
     request.item = drawItem();
-    request.callerId = absl::StrCat("r", m_seed, "-", m_number);
-    request.message = absl::StrCat(m_workspace.name, " asks ", m_number);
-    request.item.path = absl::StrReplaceAll(request.item.path, {{"{n}", std::to_string(m_number)}});
+    request.callerId = absl::StrCat(m_idPrefix, m_number);
+    request.message = absl::StrCat(m_workspace, " asks ", request.callerId);
+    request.item.path = absl::StrReplaceAll(request.item.path, {{"{n}", request.callerId}});
     if (request.item.call != load_call::Plain) {
         request.tokens = drawTokens(request.item);
         request.hint = request.item.hintFactor * request.tokens;
@@ -40,22 +42,22 @@
 const load_item &load_plan::drawItem()
 {
     double total = 0.0;
-    for (const load_item &item : m_workspace.mix)
+    for (const load_item &item : m_flow.mix)
         total += item.weight;
     double left = m_random.uniform() * total;
-    for (const load_item &item : m_workspace.mix) {
+    for (const load_item &item : m_flow.mix) {
         left -= item.weight;
         if (left < 0.0)
             return item;
     }
-    return m_workspace.mix.back();
+    return m_flow.mix.back();
 }
 
 int load_plan::drawRouter()
 {
-    if (m_workspace.routers.empty())
+    if (m_flow.routers.empty())
         return static_cast<int>(m_random.below(static_cast<std::uint64_t>(m_routers)));
-    return m_workspace.routers[m_random.below(m_workspace.routers.size())];
+    return m_flow.routers[m_random.below(m_flow.routers.size())];
 }
 
 int load_plan::drawTokens(const load_item &item)
--- a/bench/load/load_plan.h
+++ b/bench/load/load_plan.h
@@ -5,6 +5,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -29,14 +30,14 @@
 };
 
 /**
- * Draws the requests of one workspace; the same seed gives the same sequence.
+ * Draws the requests of one flow of a workspace; the same seed gives the same sequence.
  *
  * It has no I/O and no clock.
  */
 class load_plan
 {
 public:
-    load_plan(const load_workspace &workspace, int routers, std::uint64_t seed);
+    load_plan(const load_workspace &workspace, std::size_t flow, int routers, std::uint64_t seed);
 
     /** The next request. */
     planned_request next();
@@ -46,9 +47,10 @@
     int drawRouter();
     int drawTokens(const load_item &item);
 
-    load_workspace m_workspace;
+    std::string m_workspace;
+    load_flow m_flow;
+    std::string m_idPrefix;
     int m_routers;
-    std::uint64_t m_seed;
     random_source m_random;
     std::int64_t m_number = 0;
     absl::Duration m_arrival;
--- a/bench/load/load_report.cpp
+++ b/bench/load/load_report.cpp
@@ -44,6 +44,21 @@
             {"wholeAnswer", latencyJson(books.wholeAnswer(name))}};
 }
 
+/** Largest cost of one request of a flow at a service, in the service's unit. */
+double largestCost(const load_flow &flow, const service_definition &service)
+{
+    double largest = 0.0;
+    for (const load_item &item : flow.mix) {
+        if (item.service != service.name)
+            continue;
+        const auto kind = std::ranges::find(service.requestKinds, item.kind, &request_kind::name);
+        const double weight = kind == service.requestKinds.end() ? 1.0 : kind->weight;
+        const double cost = service.unit == service_unit::Tokens ? item.mostTokens : weight;
+        largest = std::max(largest, cost);
+    }
+    return largest;
+}
+
 /** Largest cost of one request divided by its workspace's share, over all requests of a service. */
 double largestWeightedRequest(const load_settings &settings, const configuration_document &document,
                               const service_definition &service)
@@ -51,15 +66,10 @@
     double largest = 0.0;
     for (const load_workspace &workspace : settings.workspaces) {
         const workspace_definition *definition = document.findWorkspace(workspace.name);
-        for (const load_item &item : workspace.mix) {
-            if (definition == nullptr || item.service != service.name)
-                continue;
-            const auto kind
-                = std::ranges::find(service.requestKinds, item.kind, &request_kind::name);
-            const double weight = kind == service.requestKinds.end() ? 1.0 : kind->weight;
-            const double cost = service.unit == service_unit::Tokens ? item.mostTokens : weight;
-            largest = std::max(largest, cost / definition->share);
-        }
+        if (definition == nullptr)
+            continue;
+        for (const load_flow &flow : workspace.flows)
+            largest = std::max(largest, largestCost(flow, service) / definition->share);
     }
     return largest;
 }
--- a/bench/load/load_runner.cpp
+++ b/bench/load/load_runner.cpp
@@ -23,8 +23,10 @@
 {
     const int routers = static_cast<int>(m_settings.routers.size());
     for (const load_workspace &workspace : m_settings.workspaces) {
-        m_workspaces.push_back(
-            std::make_unique<workspace_state>(workspace, routers, m_settings.seed));
+        for (std::size_t flow = 0; flow < workspace.flows.size(); ++flow) {
+            m_flows.push_back(
+                std::make_unique<flow_state>(workspace, flow, routers, m_settings.seed));
+        }
     }
 }
 
@@ -37,8 +39,8 @@
         onDuration();
     });
     std::vector<std::thread> workers;
-    for (const auto &state : m_workspaces) {
-        for (int worker = 0; worker < state->settings.concurrency; ++worker)
+    for (const auto &state : m_flows) {
+        for (int worker = 0; worker < state->concurrency; ++worker)
             workers.emplace_back([this, &state] { work(*state); });
     }
     for (std::thread &worker : workers)
@@ -47,7 +49,7 @@
     sampler.join();
 }
 
-void load_runner::work(workspace_state &state)
+void load_runner::work(flow_state &state)
 {
     while (absl::Now() < m_end && m_sent.fetch_add(1) < m_settings.mostRequests) {
         if (!sendNext(state))
@@ -55,7 +57,7 @@
     }
 }
 
-bool load_runner::sendNext(workspace_state &state)
+bool load_runner::sendNext(flow_state &state)
 {
     planned_request planned;
     {
@@ -66,15 +68,15 @@
         return false;
     absl::SleepFor(m_start + planned.at - absl::Now());
 
-    const std::string id = absl::StrCat(state.settings.name, "/", planned.callerId);
+    const std::string id = absl::StrCat(state.workspace.name, "/", planned.callerId);
     {
         const std::lock_guard lock(m_mutex);
-        m_account.start({id, state.settings.name, planned.item.service,
+        m_account.start({id, state.workspace.name, planned.item.service,
                          planned.item.call != load_call::Plain || planned.item.idempotent,
                          answerWeight(planned.item)},
                         absl::Now());
     }
-    const request_sender sender(m_settings, state.settings);
+    const request_sender sender(m_settings, state.workspace);
     const load_result result = sender.send(planned, [&](int tokens) {
         const std::lock_guard lock(m_mutex);
         m_account.addTokens(id, tokens, absl::Now());
@@ -108,14 +110,22 @@
                 continue;
             const auto served = account->second.service.find(service.name);
             const double total = served == account->second.service.end() ? 0.0 : served->second;
-            const bool backlogged = workspace.ratePerSecond == 0.0
-                && m_account.inProgress(workspace.name, service.name) >= workspace.backloggedFrom;
-            samples[workspace.name] = {total / definition->share, backlogged};
+            samples[workspace.name]
+                = {total / definition->share, isBacklogged(workspace, service.name)};
         }
         m_gaps[service.name].add(samples);
     }
 }
 
+bool load_runner::isBacklogged(const load_workspace &workspace, const std::string &service) const
+{
+    const int inProgress = m_account.inProgress(workspace.name, service);
+    return std::ranges::any_of(workspace.flows, [&](const load_flow &flow) {
+        return flow.ratePerSecond == 0.0 && inProgress >= flow.backloggedFrom
+            && std::ranges::find(flow.mix, service, &load_item::service) != flow.mix.end();
+    });
+}
+
 double load_runner::answerWeight(const load_item &item) const
 {
     const service_definition *service = m_document.findService(item.service);
--- a/bench/load/load_runner.h
+++ b/bench/load/load_runner.h
@@ -35,28 +35,32 @@
     const std::map<std::string, gap_meter> &gaps() const { return m_gaps; }
 
 private:
-    struct workspace_state
+    struct flow_state
     {
-        workspace_state(const load_workspace &workspace, int routers, std::uint64_t seed)
-            : settings(workspace)
-            , plan(workspace, routers, seed)
+        flow_state(const load_workspace &workspace, std::size_t flow, int routers,
+                   std::uint64_t seed)
+            : workspace(workspace)
+            , concurrency(workspace.flows.at(flow).concurrency)
+            , plan(workspace, flow, routers, seed)
         {
         }
 
-        const load_workspace &settings;
+        const load_workspace &workspace;
+        int concurrency;
         load_plan plan;
         std::mutex mutex;
     };
 
-    void work(workspace_state &state);
-    bool sendNext(workspace_state &state);
+    void work(flow_state &state);
+    bool sendNext(flow_state &state);
     void sampleGaps();
     void takeGapSample();
+    bool isBacklogged(const load_workspace &workspace, const std::string &service) const;
     double answerWeight(const load_item &item) const;
 
     load_settings m_settings;
     configuration_document m_document;
-    std::vector<std::unique_ptr<workspace_state>> m_workspaces;
+    std::vector<std::unique_ptr<flow_state>> m_flows;
     absl::Time m_start;
     absl::Time m_end;
     std::atomic<std::int64_t> m_sent = 0;
--- a/bench/load/load_settings.cpp
+++ b/bench/load/load_settings.cpp
@@ -68,21 +68,30 @@
     return indexes;
 }
 
+load_flow readFlow(json_reader &reader, std::size_t routers)
+{
+    load_flow flow;
+    flow.concurrency
+        = static_cast<int>(reader.optionalInteger("concurrency", 1, mostConcurrency, 1));
+    flow.backloggedFrom = static_cast<int>(reader.optionalInteger(
+        "backloggedFrom", 1, mostConcurrency, std::max(1, flow.concurrency / 2)));
+    flow.ratePerSecond = reader.optionalNumber("ratePerSecond", 0.0, mostWeight, 0.0);
+    flow.routers = readRouters(reader, routers);
+    for (json_reader &item : reader.objects("mix"))
+        flow.mix.push_back(readItem(item));
+    if (flow.mix.empty())
+        reader.fault("mix", "must name at least one request");
+    reader.finish();
+    return flow;
+}
+
 load_workspace readWorkspace(json_reader &reader, std::size_t routers)
 {
     load_workspace workspace;
     workspace.name = reader.requiredString("name");
     workspace.key = reader.requiredString("key");
-    workspace.concurrency
-        = static_cast<int>(reader.optionalInteger("concurrency", 1, mostConcurrency, 1));
-    workspace.backloggedFrom = static_cast<int>(reader.optionalInteger(
-        "backloggedFrom", 1, mostConcurrency, std::max(1, workspace.concurrency / 2)));
-    workspace.ratePerSecond = reader.optionalNumber("ratePerSecond", 0.0, mostWeight, 0.0);
-    workspace.routers = readRouters(reader, routers);
-    for (json_reader &item : reader.objects("mix"))
-        workspace.mix.push_back(readItem(item));
-    if (workspace.mix.empty())
-        reader.fault("mix", "must name at least one request");
+    for (json_reader &flow : reader.objects("flows"))
+        workspace.flows.push_back(readFlow(flow, routers));
     reader.finish();
     return workspace;
 }
--- a/bench/load/load_settings.h
+++ b/bench/load/load_settings.h
@@ -54,7 +54,7 @@
     double hintFactor = 1.0;
     /** Kind of the request; empty for none. */
     std::string kind;
-    /** Method and path of a plain call; "{n}" in the path becomes the request's number. */
+    /** Method and path of a plain call; "{n}" in the path becomes the caller's request id. */
     std::string method = "POST";
     std::string path = "/";
     /** Whether the call may be executed more than once. */
@@ -72,21 +72,32 @@
     bool operator==(const load_node &) const = default;
 };
 
-/** What one workspace sends. */
-struct load_workspace
+/** Requests that a workspace sends independently of its other flows. */
+struct load_flow
 {
-    std::string name;
-    std::string key;
     /** Requests in progress at any time. */
     int concurrency = 1;
     /** Requests a second at random intervals; 0 sends the next one as soon as one ends. */
     double ratePerSecond = 0.0;
-    /** Requests in progress at one service from which the workspace counts as backlogged there. */
+    /**
+     * Requests of the workspace in progress at a service from which it counts as backlogged there;
+     * flows with a rate never count.
+     */
     int backloggedFrom = 1;
     /** Indexes of the routers used, each as often as it is named; empty for all. */
     std::vector<int> routers;
     std::vector<load_item> mix;
 
+    bool operator==(const load_flow &) const = default;
+};
+
+/** What one workspace sends. */
+struct load_workspace
+{
+    std::string name;
+    std::string key;
+    std::vector<load_flow> flows;
+
     bool operator==(const load_workspace &) const = default;
 };
 
--- a/tests/load/answer_checker_test.cpp
+++ b/tests/load/answer_checker_test.cpp
@@ -93,13 +93,13 @@
     const load_settings_reading reading = readLoadSettings(R"({
         "routers": [{"ip": "127.0.0.1", "port": 8080}, {"ip": "127.0.0.2", "port": 8080}],
         "document": "document.json",
-        "workspaces": [{"name": "town", "key": "k", "ratePerSecond": 10, "routers": ["1"],
+        "workspaces": [{"name": "town", "key": "k", "flows": [{"ratePerSecond": 10, "routers": ["1"],
             "mix": [{"call": "streamedChat", "service": "s", "leastTokens": 8, "mostTokens": 64},
-                    {"call": "plain", "service": "p", "path": "/b/{n}", "weight": 0}]}]
+                    {"call": "plain", "service": "p", "path": "/b/{n}", "weight": 0}]}]}]
     })");
     REQUIRE(reading.faults.empty());
-    load_plan first(reading.settings.workspaces.front(), 2, 7);
-    load_plan second(reading.settings.workspaces.front(), 2, 7);
+    load_plan first(reading.settings.workspaces.front(), 0, 2, 7);
+    load_plan second(reading.settings.workspaces.front(), 0, 2, 7);
     absl::Duration previous;
     for (int count = 0; count < 50; ++count) {
         const planned_request request = first.next();
@@ -114,7 +114,7 @@
 
     const load_settings_reading faulty = readLoadSettings(R"({
         "routers": [{"ip": "127.0.0.1", "port": 8080}], "document": "d", "extra": 1,
-        "workspaces": [{"name": "town", "key": "k", "routers": ["4"], "mix": []}]})");
+        "workspaces": [{"name": "town", "key": "k", "flows": [{"routers": ["4"], "mix": []}]}]})");
     CHECK(faulty.faults.size() == 3);
 }
 
