quetzal-load: utilisation of what the engines bear by phase, gap of each workspace

Cause: utilisation of all slots counted the cold time against the scheduler and the data centre that was out against the fleet. Engines count bearable slot seconds; phases are before, while and after.

--- a/bench/load/gap_meter.h
+++ b/bench/load/gap_meter.h
@@ -28,6 +28,8 @@
 
     /** The widest gap, in service divided by share. */
     double widest() const { return m_widest; }
+    /** The widest gap of one workspace against any other. */
+    double widestOf(const std::string &workspace) const;
     /** The two workspaces of the widest gap; empty before there is one. */
     const std::pair<std::string, std::string> &pair() const { return m_pair; }
 
@@ -39,6 +41,7 @@
     };
 
     std::map<std::pair<std::string, std::string>, range> m_ranges;
+    std::map<std::string, double> m_widestOf;
     double m_widest = 0.0;
     std::pair<std::string, std::string> m_pair;
 };
--- a/bench/load/load_runner.h
+++ b/bench/load/load_runner.h
@@ -25,10 +25,10 @@
     load_runner(load_settings settings, configuration_document document);
 
     /**
-     * Runs for the duration of the settings and until the last request has ended; calls onDuration
-     * on another thread when the duration is over and the last requests still run.
+     * Runs for the duration of the settings and until the last request has ended. Calls onSecond
+     * about every second of the duration, at its start and at its end, on a thread of its own.
      */
-    void run(const std::function<void()> &onDuration);
+    void run(const std::function<void()> &onSecond);
 
     const load_account &account() const { return m_account; }
     /** Gap of each service, by its name. */
@@ -54,6 +54,7 @@
     void work(flow_state &state);
     bool sendNext(flow_state &state);
     void sampleGaps();
+    void callEverySecond(const std::function<void()> &onSecond) const;
     void takeGapSample();
     bool isBacklogged(const load_workspace &workspace, const std::string &service) const;
     double answerWeight(const load_item &item) const;
--- a/standins/engine/engine_model.cpp
+++ b/standins/engine/engine_model.cpp
@@ -273,6 +273,8 @@
 {
     if (when <= m_busyUntil)
         return;
+    const int bearable = isCold(m_busyUntil) ? m_options.coldSlots : m_options.slots;
+    m_counts.bearable += bearable * (when - m_busyUntil);
     m_counts.busy += static_cast<double>(m_running.size()) * (when - m_busyUntil);
     m_busyUntil = when;
 }
--- a/standins/engine/engine_model.h
+++ b/standins/engine/engine_model.h
@@ -80,6 +80,8 @@
     std::int64_t ordersRefused = 0;
     /** Sum over the slots of the time in which each was generating. */
     absl::Duration busy;
+    /** Sum over the time of the slots that the engine bore: all when warm, coldSlots when cold. */
+    absl::Duration bearable;
 
     bool operator==(const engine_counts &) const = default;
 };
@@ -153,7 +155,7 @@
     absl::Time abandonTime(const request_state &request) const;
     engine_load presentLoad() const;
     void sampleLoad(absl::Time when);
-    /** Counts the running slots as busy until when; call before the running requests change. */
+    /** Counts busy and bearable slots until when; call before the running requests change. */
     void countBusy(absl::Time when);
     execution_phase phaseOf(const request_state &request) const;
 
--- a/standins/engine/engine_server.cpp
+++ b/standins/engine/engine_server.cpp
@@ -388,8 +388,8 @@
                 {"cancelled", counts.cancelled},
                 {"ordersTaken", counts.ordersTaken},
                 {"ordersRefused", counts.ordersRefused},
-                {"slots", m_model.options().slots},
-                {"busySlotSeconds", absl::ToDoubleSeconds(counts.busy)}});
+                {"busySlotSeconds", absl::ToDoubleSeconds(counts.busy)},
+                {"bearableSlotSeconds", absl::ToDoubleSeconds(counts.bearable)}});
 }
 
 engine_progress engine_server::progressOf(const std::string &requestId)
--- a/tests/load/load_account_test.cpp
+++ b/tests/load/load_account_test.cpp
@@ -1,5 +1,6 @@
 #include "bench/load/gap_meter.h"
 #include "bench/load/load_account.h"
+#include "bench/load/utilisation_series.h"
 
 #include <catch2/catch.hpp>
 
@@ -116,6 +117,19 @@
     CHECK(summarise({absl::Seconds(2), absl::Seconds(1)}).p99 == absl::Seconds(2));
 }
 
+SCENARIO("utilisation is taken of what the engines bear, without the data centre that is out")
+{
+    utilisation_series series;
+    series.add(start, {{"nashua", {0.0, 0.0}}, {"lowell", {0.0, 0.0}}});
+    series.add(start + absl::Seconds(1), {{"nashua", {6.0, 8.0}}, {"lowell", {2.0, 8.0}}});
+    series.add(start + absl::Seconds(2), {{"nashua", {14.0, 16.0}}, {"lowell", {2.0, 16.0}}});
+
+    CHECK(series.between(start, start + absl::Seconds(2), {}) == 0.5);
+    CHECK(series.between(start + absl::Seconds(1), start + absl::Seconds(2), {"lowell"}) == 1.0);
+    CHECK(series.between(start + absl::Seconds(5), start + absl::Seconds(9), {}) == 0.0);
+    CHECK(series.of("lowell") == 0.125);
+}
+
 SCENARIO("the gap is the widest over every interval in which both are backlogged")
 {
     gap_meter meter;
@@ -126,6 +140,8 @@
     add(10, 4);
     add(10, 13);
     CHECK(meter.widest() == 9.0);
+    CHECK(meter.widestOf("b") == 9.0);
+    CHECK(meter.widestOf("c") == 0.0);
     CHECK(meter.pair() == std::pair<std::string, std::string>("a", "b"));
 
     WHEN("one has nothing waiting in between")
--- a/tests/standins/engine_model_test.cpp
+++ b/tests/standins/engine_model_test.cpp
@@ -61,6 +61,7 @@
             CHECK(engine.progress("c", start + absl::Seconds(3)).tokensReady == 1);
             CHECK(engine.progress("c", start + absl::Seconds(4)).phase == execution_phase::Done);
             CHECK(engine.counts().busy == absl::Seconds(2 + 3 + 2));
+            CHECK(engine.counts().bearable == absl::Seconds(2 * 4));
         }
     }
 
@@ -107,6 +108,8 @@
             CHECK(engine.isCold(start + absl::Seconds(1)));
             REQUIRE(engine.progress("c", start + absl::Seconds(5)).phase == execution_phase::Done);
             CHECK_FALSE(engine.isCold(start + absl::Seconds(5)));
+            engine.reportedLoad(start + absl::Seconds(6));
+            CHECK(engine.counts().bearable == absl::Seconds(5 + 2));
         }
     }
 
