quetzal-admin and quetzalctl

Thin shells around the administration logic: HTTP, store clients, one status poll for each scheduler, waiting for a change to be in force; command line with tables, JSON and documented exit codes.

--- /dev/null
+++ b/apps/admin/environment_store.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include "apps/admin/admin_settings.h"
+#include "transport/store/store_client.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace quetzal {
+
+/** The configuration keys of several environments in the key-value service. Thread-safe. */
+class environment_store
+{
+public:
+    explicit environment_store(const admin_settings &settings);
+
+    /** All configuration keys below an environment's prefix. */
+    std::optional<store_view> read(const std::string &keyPrefix);
+    /** Performs a transaction; waits a moment after one that was not answered. */
+    store_reply perform(const store_transaction &transaction);
+
+private:
+    std::map<std::string, std::unique_ptr<store_client>> m_clients;
+};
+
+} // namespace quetzal
