--- a/apps/admin/admin_server.cpp
+++ b/apps/admin/admin_server.cpp
@@ -117,7 +117,8 @@
     if (result.acceptedRevision)
         addFleet(request, result);
     m_log.info("answered",
-               {{"method", request.method},
+               {{"operator", result.caller},
+                {"method", request.method},
                 {"path", request.path},
                 {"code", static_cast<std::int64_t>(result.code)},
                 {"revision", result.acceptedRevision.value_or(0)}},
--- a/modules/configuration/administration/administration_api.h
+++ b/modules/configuration/administration/administration_api.h
@@ -67,12 +67,9 @@
         const operator_definition *caller = m_operators.find(request.token);
         if (caller == nullptr)
             return makeErrorAnswer(result_code::TokenUnknown);
-        if (isChange(request) && caller->role != operator_role::Write)
-            return makeErrorAnswer(result_code::RoleInsufficient);
-        const auto environment = m_options.environments.find(environmentOf(request));
-        if (environment == m_options.environments.end())
-            return makeErrorAnswer(result_code::NotFound, "no such environment");
-        return dispatch(request, environment->second);
+        administration_answer answer = handleFor(*caller, request);
+        answer.caller = caller->name;
+        return answer;
     }
 
     /** The environment that a call is about. */
@@ -92,6 +89,17 @@
             || request.path.starts_with("/v1/data-centres/");
     }
 
+    administration_answer handleFor(const operator_definition &caller,
+                                    const administration_request &request)
+    {
+        if (isChange(request) && caller.role != operator_role::Write)
+            return makeErrorAnswer(result_code::RoleInsufficient);
+        const auto environment = m_options.environments.find(environmentOf(request));
+        if (environment == m_options.environments.end())
+            return makeErrorAnswer(result_code::NotFound, "no such environment");
+        return dispatch(request, environment->second);
+    }
+
     administration_answer dispatch(const administration_request &request, const std::string &prefix)
     {
         const std::vector<std::string> parts = request.pathParts();
--- a/modules/configuration/administration/administration_messages.cpp
+++ b/modules/configuration/administration/administration_messages.cpp
@@ -34,7 +34,8 @@
     error["name"] = entry.name;
     error["message"] = message.empty() ? std::string(entry.meaning) : message;
     error["whatToDo"] = entry.whatToDo;
-    return {.code = code, .body = {{"error", error}}, .acceptedRevision = std::nullopt};
+    return {
+        .code = code, .body = {{"error", error}}, .acceptedRevision = std::nullopt, .caller = {}};
 }
 
 nlohmann::json toJson(const std::vector<json_fault> &faults)
--- a/modules/configuration/administration/administration_messages.h
+++ b/modules/configuration/administration/administration_messages.h
@@ -41,6 +41,8 @@
     nlohmann::json body = nlohmann::json::object();
     /** The revision that was accepted; the fleet's state is to be added to the body. */
     std::optional<std::int64_t> acceptedRevision;
+    /** Name of the operator who called; empty when the token is unknown. */
+    std::string caller;
 
     bool operator==(const administration_answer &) const = default;
 };
--- a/tests/configuration/document_test.cpp
+++ b/tests/configuration/document_test.cpp
@@ -31,7 +31,7 @@
                                {"/dataCentres/1/name", "nashua"},
                                {"/services/0/kind", "other"},
                                {"/services/0/coldSlotsPerTarget", 9},
-                               {"/services/0/targetsPerShard", 65},
+                               {"/services/0/shardsPerDataCentre", 257},
                                {"/services/1/calls/0/requestKind", "unheard"},
                                {"/services/1/models", nlohmann::json::array({"roster"})},
                                {"/workspaces/0/share", 0},
