--- a/apps/admin/admin_server.cpp
+++ b/apps/admin/admin_server.cpp
@@ -67,7 +67,10 @@
 
 void admin_server::start()
 {
-    if (!m_server.bind_to_port(m_settings.listen.ip, m_settings.listen.port))
+    const auto &[ip, port] = m_settings.listen;
+    const bool isBound = port != 0 && m_server.bind_to_port(ip, port);
+    m_port = port == 0 ? m_server.bind_to_any_port(ip) : port;
+    if (port == 0 ? m_port <= 0 : !isBound)
         throw std::system_error(make_error_code(result_code::AddressInUse));
     m_thread = std::thread([this] { m_server.listen_after_bind(); });
 }
--- a/apps/admin/admin_server.h
+++ b/apps/admin/admin_server.h
@@ -30,6 +30,8 @@
 
     /** Starts to listen; throws std::system_error when the address is in use. */
     void start();
+    /** The port in use; with port 0 in the settings the system chooses one. */
+    int port() const { return m_port; }
     /** Answers the calls that have come in, then ends. */
     void stop();
 
@@ -49,6 +51,7 @@
     random_source m_random ABSL_GUARDED_BY(m_mutex);
     absl::Notification m_stop;
     httplib::Server m_server;
+    int m_port = 0;
     std::thread m_thread;
 };
 
