--- a/modules/configuration/configuration.h
+++ b/modules/configuration/configuration.h
@@ -15,3 +15,4 @@
 #include "configuration/revision/configuration_head.h"
 #include "configuration/revision/configuration_snapshot.h"
 #include "configuration/revision/document_chunks.h"
+#include "configuration/revision/document_delta.h"
--- a/modules/configuration/revision/configuration_follower.cpp
+++ b/modules/configuration/revision/configuration_follower.cpp
@@ -44,6 +44,18 @@
     return follower_verdict::Adopted;
 }
 
+follower_verdict configuration_follower::onDelta(std::int64_t revision, const document_delta &delta)
+{
+    if (revision <= this->revision())
+        return follower_verdict::NotHigher;
+    if (m_current == nullptr)
+        return follower_verdict::DeltaUnsuitable;
+    const std::optional<std::string> text = applyDelta(delta, m_current->text);
+    if (!text)
+        return follower_verdict::DeltaUnsuitable;
+    return onDocument(revision, delta.digest, *text);
+}
+
 std::optional<std::string> joinChunks(const configuration_head &head,
                                       const configuration_keys &keys, const store_view &view)
 {
--- a/modules/configuration/revision/configuration_follower.h
+++ b/modules/configuration/revision/configuration_follower.h
@@ -2,6 +2,7 @@
 
 #include "configuration/revision/configuration_head.h"
 #include "configuration/revision/configuration_snapshot.h"
+#include "configuration/revision/document_delta.h"
 #include "ownership/store/store_types.h"
 
 #include <memory>
@@ -23,6 +24,8 @@
     ChunkMissing,
     /** The text has another digest than the one given. */
     DigestWrong,
+    /** The delta does not fit the document in force; ask for the whole document. */
+    DeltaUnsuitable,
     /** The text is not a document without faults. */
     DocumentInvalid,
 };
@@ -51,6 +54,9 @@
     follower_verdict onDocument(std::int64_t revision, const std::string &digest,
                                 const std::string &text);
 
+    /** Takes the document that a delta makes of the one in force. */
+    follower_verdict onDelta(std::int64_t revision, const document_delta &delta);
+
     /** The configuration in force; null before the first. */
     std::shared_ptr<const configuration_snapshot> current() const { return m_current; }
     /** The revision in force; 0 before the first. */
