--- a/modules/scheduling/shard/shard_scheduler.cpp
+++ b/modules/scheduling/shard/shard_scheduler.cpp
@@ -113,8 +113,12 @@
 void shard_scheduler::onLoad(const std::string &target, const target_load &load, absl::Time now)
 {
     const auto found = m_targets.find(target);
-    if (found != m_targets.end())
-        found->second.admission.observeLoad(load, now);
+    if (found == m_targets.end())
+        return;
+    if (isSilent(found->second, now))
+        found->second.admission.observeEvidence(target_evidence::Reset, "", now);
+    found->second.lastSign = now;
+    found->second.admission.observeLoad(load, now);
 }
 
 void shard_scheduler::onReport(const protocol::router_report &report, absl::Time now)
@@ -307,6 +311,8 @@
                                           .startedAt = found->second.grantedAt,
                                           .running = target->second.inUse},
                                          now);
+    if (target != m_targets.end() && outcome.ending == protocol::ticket_end::AnsweredWhole)
+        target->second.lastSign = now;
     if (outcome.ending == protocol::ticket_end::AnsweredWhole)
         m_estimator.learn(featuresOf(outcome.workspace, outcome.requestKind, outcome.hint),
                           outcome.units);
@@ -438,10 +444,17 @@
                        });
 }
 
+bool shard_scheduler::isSilent(const target_state &target, absl::Time now) const
+{
+    return now - target.lastSign > m_options.targetSilence;
+}
+
 int shard_scheduler::freeSlots(const target_state &target, ownership_certainty certainty,
                                absl::Time now) const
 {
     int limit = target.admission.limit(now);
+    if (isSilent(target, now))
+        limit = std::min(limit, m_options.service.coldSlotsPerTarget);
     if (target.admission.isCold(now))
         limit = coldShare(certainty, limit);
     const bool doubtful = now < target.doubtUntil || !isComplete(now);
--- a/modules/scheduling/shard/shard_scheduler.h
+++ b/modules/scheduling/shard/shard_scheduler.h
@@ -37,6 +37,8 @@
     absl::Duration revocationDelay = absl::Milliseconds(400);
     /** Longest time after a takeover that a workspace waits for its total from the ledger. */
     absl::Duration ledgerWait = absl::Milliseconds(800);
+    /** A target that gave no sign for this long may have restarted: it counts as cold. */
+    absl::Duration targetSilence = absl::Milliseconds(1500);
     /** How long a target's own count is trusted over the tickets after a doubtful release. */
     absl::Duration doubtDuration = absl::Seconds(10);
 };
@@ -158,6 +160,8 @@
         target_admission admission;
         int inUse = 0;
         absl::Time doubtUntil = absl::InfinitePast();
+        /** Last load report or answer; infinite before the first report. */
+        absl::Time lastSign = absl::InfiniteFuture();
     };
     using ticket_key = std::pair<std::int64_t, std::int64_t>;
     using ticket_map = std::map<ticket_key, ticket_state>;
@@ -180,6 +184,7 @@
     double finalCharge(const protocol::ticket_outcome &outcome) const;
     double weightOf(const std::string &requestKind) const;
     bool isComplete(absl::Time now) const;
+    bool isSilent(const target_state &target, absl::Time now) const;
     int freeSlots(const target_state &target, ownership_certainty certainty, absl::Time now) const;
     std::string freestTarget(ownership_certainty certainty, absl::Time now) const;
     addressed_grant issue(const std::string &workspace, const std::string &target, absl::Time now);
