--- a/modules/protocol/idl/protocol.thrift
+++ b/modules/protocol/idl/protocol.thrift
@@ -172,7 +172,11 @@
     /** Virtual time added when the workspace became backlogged. */
     4: double lift,
     /** The part of the total that is the writer's own charge, as the home had it. */
-    5: double included
+    5: double included,
+    /** Version of the total that totalKnown and included belong to. */
+    6: i64 totalVersion,
+    /** What the writer has raised the lift by and no home has told back yet. */
+    7: double liftRaise
 }
 
 /** Shard owner to ledger home; cumulative values, so a repeat never counts twice. */
--- a/modules/scheduling/node/ledger_messages.cpp
+++ b/modules/scheduling/node/ledger_messages.cpp
@@ -14,6 +14,8 @@
         entry.totalKnown = line.totalKnown;
         entry.lift = line.lift;
         entry.included = line.included;
+        entry.totalVersion = line.totalVersion;
+        entry.liftRaise = line.liftRaise;
         entries.push_back(std::move(entry));
     }
     return entries;
@@ -27,7 +29,9 @@
                          .charged = entry.charged,
                          .totalKnown = entry.totalKnown,
                          .lift = entry.lift,
-                         .included = entry.included});
+                         .included = entry.included,
+                         .totalVersion = entry.totalVersion,
+                         .liftRaise = entry.liftRaise});
     return lines;
 }
 
--- a/modules/scheduling/node/scheduler_node.cpp
+++ b/modules/scheduling/node/scheduler_node.cpp
@@ -497,6 +497,8 @@
         return;
     m_homeCandidates = std::move(candidates);
     m_homes.clear();
+    m_ledgerHome.retain(
+        [this](const std::string &workspace) { return homeOf(workspace) == m_options.vm; });
     for (auto &[name, shard] : m_shards)
         shard.onHomesMoved();
 }
