--- a/modules/configuration/revision/document_delta.cpp
+++ b/modules/configuration/revision/document_delta.cpp
@@ -95,7 +95,7 @@
             piece = *literal;
         } else {
             const copied_range &range = std::get<copied_range>(part);
-            if (range.offset > base.size() || range.length > base.size() - range.offset)
+            if (range.offset > base.size())
                 return std::nullopt;
             piece = base.substr(range.offset, range.length);
         }
