--- a/tests/ownership/ownership_fleet.cpp
+++ b/tests/ownership/ownership_fleet.cpp
@@ -13,6 +13,10 @@
 constexpr absl::Duration heartbeatInterval = absl::Milliseconds(500);
 constexpr absl::Duration relayInterval = absl::Seconds(1);
 constexpr absl::Duration unlistingLag = absl::Seconds(8);
+constexpr absl::Duration listingLag = absl::Seconds(6);
+/** How much faster a node's clock runs than that of the node before; the margin is 5 in 100. */
+constexpr double clockRateStep = 0.008;
+constexpr int clockRates = 5;
 constexpr int dataCentres = 3;
 constexpr int largestColdLimit = 5;
 
@@ -46,6 +50,17 @@
             .keyPrefix = "/quetzal/test"};
 }
 
+absl::Time ownership_fleet::clockOf(int node) const
+{
+    const double rate = 1.0 + clockRateStep * (node % clockRates - clockRates / 2);
+    return absl::UnixEpoch() + (m_now - absl::UnixEpoch()) * rate;
+}
+
+bool ownership_fleet::isListed(int node) const
+{
+    return m_now >= m_nodes[node].listedAt && m_now < m_nodes[node].unlistedAt;
+}
+
 void ownership_fleet::run(absl::Duration duration)
 {
     const absl::Time end = m_now + duration;
@@ -77,30 +92,29 @@
     node_state &state = m_nodes[node];
     std::vector<scheduler_member> members;
     for (int other = 0; other < size(); ++other) {
-        if (m_now < m_nodes[other].unlistedAt)
+        if (isListed(other))
             members.push_back({vmName(other), dataCentreName(other)});
     }
     state.ownership->setMembers(members);
     state.ownership->setShards(definitions());
     recordGrants(node);
-    for (const store_request &request : state.ownership->advance(m_now))
+    for (const store_request &request : state.ownership->advance(clockOf(node)))
         sendRequest(node, request);
     recordGrants(node);
     sendView(node);
     if (m_now >= state.heartbeatAt + heartbeatInterval)
         sendHeartbeats(node);
-    if (state.ownership->wantsRelay(m_now) && m_now >= state.relayAt + relayInterval)
+    if (state.ownership->wantsRelay(clockOf(node)) && m_now >= state.relayAt + relayInterval)
         sendRelays(node);
 }
 
-void ownership_fleet::send(int node, absl::Duration delay,
-                           std::function<void(shard_ownership &)> handle)
+void ownership_fleet::send(int node, absl::Duration delay, handler handle)
 {
     const std::int64_t incarnation = m_nodes[node].incarnation;
     auto deliver = [this, node, incarnation, handle = std::move(handle)] {
         node_state &state = m_nodes[node];
         if (state.ownership && state.incarnation == incarnation)
-            handle(*state.ownership);
+            handle(*state.ownership, clockOf(node));
     };
     m_events.emplace(m_now + delay, [this, node, deliver = std::move(deliver)] {
         if (m_nodes[node].paused)
@@ -120,13 +134,13 @@
         const peer_heartbeat heartbeat {
             .vm = vmName(node),
             .incarnation = state.incarnation,
-            .storeReachable = state.ownership->isStoreReachable(m_now),
+            .storeReachable = state.ownership->isStoreReachable(clockOf(node)),
             .stopping = state.ownership->isStopped(),
-            .claims = state.ownership->claimsFor(vmName(peer), m_now),
+            .claims = state.ownership->claimsFor(vmName(peer), clockOf(node)),
         };
         const absl::Duration delay = absl::Milliseconds(m_random.below(400));
-        send(peer, delay, [this, heartbeat](shard_ownership &ownership) {
-            ownership.onPeerHeartbeat(heartbeat, m_now);
+        send(peer, delay, [heartbeat](shard_ownership &ownership, absl::Time now) {
+            ownership.onPeerHeartbeat(heartbeat, now);
         });
     }
 }
@@ -135,7 +149,7 @@
 {
     m_nodes[node].relayAt = m_now;
     const std::int64_t lease = m_nodes[node].ownership->lease();
-    const absl::Time sentAt = m_now;
+    const absl::Time sentAt = clockOf(node);
     for (int peer = 0; peer < size(); ++peer) {
         const bool able
             = peer != node && isRunning(peer) && reaches(node, peer) && reachesStore(peer);
@@ -143,9 +157,9 @@
             continue;
         const store_reply reply = m_store.perform(lease_renewal {.lease = lease}, m_now);
         send(node, absl::Milliseconds(m_random.below(300)),
-             [this, reply, lease, sentAt](shard_ownership &ownership) {
+             [reply, lease, sentAt](shard_ownership &ownership, absl::Time now) {
                  if (reply.outcome == store_outcome::Done)
-                     ownership.onRelayedRenewal(sentAt, m_now);
+                     ownership.onRelayedRenewal(sentAt, now);
                  else
                      ownership.onRelayRefused(lease);
              });
@@ -163,8 +177,9 @@
             --m_nodes[node].answersToLose;
             return;
         }
-        send(node, m_storeDelay,
-             [this, reply](shard_ownership &ownership) { ownership.onStoreReply(reply, m_now); });
+        send(node, m_storeDelay, [reply](shard_ownership &ownership, absl::Time now) {
+            ownership.onStoreReply(reply, now);
+        });
     });
 }
 
@@ -175,8 +190,8 @@
         return;
     state.sentRevision = m_store.view().revision;
     send(node, state.viewDelay + absl::Milliseconds(20),
-         [this, view = m_store.view()](shard_ownership &ownership) {
-             ownership.onStoreView(view, m_now);
+         [view = m_store.view()](shard_ownership &ownership, absl::Time now) {
+             ownership.onStoreView(view, now);
          });
 }
 
@@ -203,6 +218,8 @@
     state.paused = false;
     state.backlog.clear();
     state.sentRevision = 0;
+    if (!isListed(node))
+        state.listedAt = m_now + listingLag;
     state.unlistedAt = absl::InfiniteFuture();
 }
 
@@ -238,8 +255,9 @@
 
 void ownership_fleet::deliverOldView(int node)
 {
-    send(node, absl::ZeroDuration(),
-         [this](shard_ownership &ownership) { ownership.onStoreView(m_firstView, m_now); });
+    send(node, absl::ZeroDuration(), [this](shard_ownership &ownership, absl::Time now) {
+        ownership.onStoreView(m_firstView, now);
+    });
 }
 
 void ownership_fleet::kill(int node)
@@ -260,7 +278,7 @@
 void ownership_fleet::stop(int node)
 {
     if (isRunning(node))
-        m_nodes[node].ownership->beginStop(m_now);
+        m_nodes[node].ownership->beginStop(clockOf(node));
 }
 
 void ownership_fleet::hideShard(int shard, bool hidden)
@@ -311,7 +329,7 @@
 
 ownership_certainty ownership_fleet::certaintyOf(int node, int shard) const
 {
-    for (const owned_shard &owned : m_nodes[node].ownership->ownedShards(m_now)) {
+    for (const owned_shard &owned : m_nodes[node].ownership->ownedShards(clockOf(node))) {
         if (owned.shard == shardName(shard))
             return owned.certainty;
     }
@@ -321,7 +339,7 @@
 
 std::int64_t ownership_fleet::epochOf(int node, int shard) const
 {
-    for (const owned_shard &owned : m_nodes[node].ownership->ownedShards(m_now)) {
+    for (const owned_shard &owned : m_nodes[node].ownership->ownedShards(clockOf(node))) {
         if (owned.shard == shardName(shard))
             return owned.epoch;
     }
@@ -358,7 +376,7 @@
 
 void ownership_fleet::recordGrants(int node)
 {
-    for (const owned_shard &owned : m_nodes[node].ownership->ownedShards(m_now)) {
+    for (const owned_shard &owned : m_nodes[node].ownership->ownedShards(clockOf(node))) {
         auto &times = m_grants[owned.shard];
         const std::pair<int, std::int64_t> process(node, m_nodes[node].incarnation);
         if (!times.contains(process))
--- a/tests/ownership/ownership_fleet.h
+++ b/tests/ownership/ownership_fleet.h
@@ -57,7 +57,8 @@
 
     shard_ownership &at(int node) { return *m_nodes[node].ownership; }
     int size() const { return static_cast<int>(m_nodes.size()); }
-    absl::Time now() const { return m_now; }
+    /** The node's own clock; the clocks of the nodes run at different rates. */
+    absl::Time clockOf(int node) const;
     fake_store &store() { return m_store; }
     std::string shardName(int shard) const { return "shard-" + std::to_string(shard); }
     /** The running nodes that may grant on the shard now. */
@@ -83,6 +84,7 @@
         std::int64_t sentRevision = 0;
         absl::Time heartbeatAt = absl::InfinitePast();
         absl::Time relayAt = absl::InfinitePast();
+        absl::Time listedAt = absl::InfinitePast();
         absl::Time unlistedAt = absl::InfiniteFuture();
         std::vector<std::function<void()>> backlog;
     };
@@ -91,7 +93,9 @@
 
     void step();
     void stepNode(int node);
-    void send(int node, absl::Duration delay, std::function<void(shard_ownership &)> handle);
+    using handler = std::function<void(shard_ownership &, absl::Time)>;
+    void send(int node, absl::Duration delay, handler handle);
+    bool isListed(int node) const;
     void sendHeartbeats(int node);
     void sendRelays(int node);
     void sendRequest(int node, const store_request &request);
--- a/tests/ownership/shard_ownership_test.cpp
+++ b/tests/ownership/shard_ownership_test.cpp
@@ -121,8 +121,8 @@
         {
             CHECK(ownerOf(fleet, 0) == owner);
             CHECK(fleet.epochOf(owner, 0) == epoch);
-            CHECK(fleet.at(owner).isConnected(fleet.now()));
-            CHECK_FALSE(fleet.at(owner).isStoreReachable(fleet.now()));
+            CHECK(fleet.at(owner).isConnected(fleet.clockOf(owner)));
+            CHECK_FALSE(fleet.at(owner).isStoreReachable(fleet.clockOf(owner)));
         }
     }
 
@@ -133,7 +133,7 @@
         fleet.run(absl::Seconds(20));
         THEN("it is in doubt and its successor grants the other half")
         {
-            CHECK_FALSE(fleet.at(owner).isConnected(fleet.now()));
+            CHECK_FALSE(fleet.at(owner).isConnected(fleet.clockOf(owner)));
             CHECK(fleet.certaintyOf(owner, 0) == ownership_certainty::InDoubt);
             REQUIRE(fleet.granters(0).size() == 2);
             const std::vector<int> granters = fleet.granters(0);
--- a/tests/targets/target_admission_test.cpp
+++ b/tests/targets/target_admission_test.cpp
@@ -163,6 +163,29 @@
             CHECK(admission.limit(after(10)) == 1);
         }
     }
+    WHEN("a report comes from an unknown instance that began before the present one")
+    {
+        admission.observeLoad({.instance = "z", .uptime = absl::Hours(2), .leaving = true},
+                              after(10));
+        THEN("it changes nothing")
+        {
+            CHECK(admission.limit(after(10)) == 8);
+        }
+    }
+    WHEN("an instance that was taken for a former one is the only one to report")
+    {
+        admission.observeLoad({.instance = "b", .uptime = absl::Seconds(1), .leaving = true},
+                              after(10));
+        REQUIRE(admission.limit(after(10)) == 0);
+        for (int second = 11; second <= 21; ++second) {
+            admission.observeLoad(
+                {.instance = "a", .uptime = absl::Hours(1) + absl::Seconds(second)}, after(second));
+        }
+        THEN("it is the present one again, and cold")
+        {
+            CHECK(admission.limit(after(21)) == 1);
+        }
+    }
     WHEN("it says itself that it is cold")
     {
         const absl::Duration uptime = absl::Hours(1) + absl::Seconds(10);
