A process that was named owner without knowing it acknowledges its successor

Cause: a planned stop named a paused scheduler, which was replaced before it resumed; it never held the shard, so it never acknowledged, and the successor stayed Succeeding (seed 11, case 150). Change: acknowledge also when the record names this process as a former owner.

--- a/modules/ownership/shards/shard_ownership.cpp
+++ b/modules/ownership/shards/shard_ownership.cpp
@@ -181,10 +181,9 @@
              .owner
              = {.vm = m_options.vm, .incarnation = m_options.incarnation, .epoch = held.epoch}});
     }
-    for (const std::string &shard : m_lost) {
-        const auto owner = m_knownOwners.find(shard);
-        if (owner != m_knownOwners.end() && owner->second.vm == peer)
-            claims.push_back({.shard = shard, .owner = owner->second});
+    for (const auto &[shard, owner] : m_knownOwners) {
+        if (owner.vm == peer && wasOwner(shard))
+            claims.push_back({.shard = shard, .owner = owner});
     }
     return claims;
 }
--- a/modules/ownership/shards/shard_ownership.h
+++ b/modules/ownership/shards/shard_ownership.h
@@ -226,6 +226,8 @@
     void learnOwner(const std::string &shard, const recorded_owner &owner);
     void learnAcknowledgement(const peer_heartbeat &heartbeat, const shard_claim &claim,
                               absl::Time now);
+    /** True when this process held the shard, or was named as its owner without knowing it. */
+    bool wasOwner(const std::string &shard) const;
     void updateRegistration();
     void dropTakenShards();
     void drop(const std::string &shard);
--- a/modules/ownership/shards/shard_ownership_rules.cpp
+++ b/modules/ownership/shards/shard_ownership_rules.cpp
@@ -38,6 +38,13 @@
     }
 }
 
+bool shard_ownership::wasOwner(const std::string &shard) const
+{
+    const former_owner self {.vm = m_options.vm, .incarnation = m_options.incarnation};
+    const std::vector<former_owner> &former = m_view.shard(shard).record.former;
+    return m_lost.contains(shard) || std::ranges::find(former, self) != former.end();
+}
+
 void shard_ownership::updateRegistration()
 {
     const stored_record<member_record> &own = m_view.member(m_options.vm);
--- a/tests/ownership/full_size_test.cpp
+++ b/tests/ownership/full_size_test.cpp
@@ -55,6 +55,8 @@
     auto ownership = std::make_unique<shard_ownership>(ownership_fleet::options(0, 1));
     std::vector<scheduler_member> memberList;
     std::vector<shard_definition> definitions;
+    memberList.reserve(members);
+    definitions.reserve(shards);
     for (int vm = 0; vm < members; ++vm)
         memberList.push_back({vmName(vm), "dc-" + std::to_string(vm % 4)});
     for (int shard = 0; shard < shards; ++shard)
--- a/tests/ownership/ownership_fleet.cpp
+++ b/tests/ownership/ownership_fleet.cpp
@@ -17,6 +17,7 @@
 /** How much faster a node's clock runs than that of the node before; the margin is 5 in 100. */
 constexpr double clockRateStep = 0.008;
 constexpr int clockRates = 5;
+constexpr int middleClockRate = 2;
 constexpr int dataCentres = 3;
 constexpr int largestColdLimit = 5;
 
@@ -52,7 +53,7 @@
 
 absl::Time ownership_fleet::clockOf(int node) const
 {
-    const double rate = 1.0 + clockRateStep * (node % clockRates - clockRates / 2);
+    const double rate = 1.0 + clockRateStep * (node % clockRates - middleClockRate);
     return absl::UnixEpoch() + (m_now - absl::UnixEpoch()) * rate;
 }
 
