--- a/bench/fairness/fair_policy.h
+++ b/bench/fairness/fair_policy.h
@@ -90,7 +90,7 @@
                 return std::to_string(stableHash(name) % m_homes.size());
             };
             for (auto &[home, change] : shard.writer.collect(shard.order, homeOf))
-                send(events, index, std::stoi(home), std::move(change));
+                send(events, index, std::stoi(home), change);
         }
     }
 
@@ -168,7 +168,7 @@
         return now >= m_options.partitionStart && now < m_options.partitionEnd;
     }
 
-    void send(event_queue &events, int shard, int home, ledger_change change)
+    void send(event_queue &events, int shard, int home, const ledger_change &change)
     {
         countMessage(change.lines.size());
         if (isCut(events.now()))
--- a/tests/bench/fairness_gate_test.cpp
+++ b/tests/bench/fairness_gate_test.cpp
@@ -37,6 +37,11 @@
     return load;
 }
 
+int shardsOf(const workload &load)
+{
+    return load.targets / load.targetsPerShard;
+}
+
 } // namespace
 
 SCENARIO("the gap is the largest difference over every interval")
@@ -114,7 +119,7 @@
     constexpr double roundingOfAShard = 2.0;
     constexpr double floatingError = 1e-6;
     for (const workload &load : {allAnswered(rosterApp()), allAnswered(registo())}) {
-        const double shards = load.targets / load.targetsPerShard;
+        const double shards = shardsOf(load);
         const double bound = roundingOfAShard * shards + floatingError;
         fairness_case item = sharded(load);
         CAPTURE(load.name);
