A shard that was given up has no known owner

Cause: a planned stop without a live successor wrote an empty owner, and knownOwners() passed it on; the fleet harness threw on a message to it (StopScheduler, PauseScheduler). The epoch is kept apart.

--- a/modules/ownership/shards/shard_ownership.h
+++ b/modules/ownership/shards/shard_ownership.h
@@ -194,7 +194,7 @@
     std::vector<owned_shard> ownedShards(absl::Time now) const;
     /** What a heartbeat to this peer says: the shards owned, and those lost to that peer. */
     std::vector<shard_claim> claimsFor(const std::string &peer, absl::Time now) const;
-    /** The highest-epoch owner known of each shard. */
+    /** The highest-epoch owner known of each shard; a shard that was given up has no entry. */
     const std::map<std::string, recorded_owner> &knownOwners() const { return m_knownOwners; }
     /** True when the store or more than half of the last known members were heard of lately. */
     bool isConnected(absl::Time now) const;
@@ -224,6 +224,7 @@
     void expirePending(absl::Time now);
     void noteStoreAnswer(absl::Time now);
     void learnOwner(const std::string &shard, const recorded_owner &owner);
+    std::int64_t highestEpoch(const std::string &shard) const;
     void learnAcknowledgement(const peer_heartbeat &heartbeat, const shard_claim &claim,
                               absl::Time now);
     /** True when this process held the shard, or was named as its owner without knowing it. */
@@ -275,6 +276,8 @@
     peer_table m_peers;
     ownership_view m_view;
     std::map<std::string, recorded_owner> m_knownOwners;
+    /** The highest epoch known of each shard, given up or not. */
+    std::map<std::string, std::int64_t> m_epochs;
     std::map<std::string, held_shard> m_held;
     /** Shards that this process held once and lost. */
     std::set<std::string> m_lost;
--- a/modules/ownership/shards/shard_ownership_requests.cpp
+++ b/modules/ownership/shards/shard_ownership_requests.cpp
@@ -62,8 +62,7 @@
 void shard_ownership::adopt(const std::string &shard, absl::Time now)
 {
     const stored_record<shard_record> &stored = m_view.shard(shard);
-    const auto known = m_knownOwners.find(shard);
-    const bool newest = known == m_knownOwners.end() || stored.record.epoch >= known->second.epoch;
+    const bool newest = stored.record.epoch >= highestEpoch(shard);
     if (!isOwnRecord(stored.record) || !newest)
         return;
     held_shard held {.epoch = stored.record.epoch,
@@ -127,13 +126,12 @@
 store_transaction shard_ownership::acquisition(const shard_definition &definition, absl::Time now)
 {
     const stored_record<shard_record> &stored = m_view.shard(definition.shard);
-    const auto known = m_knownOwners.find(definition.shard);
-    const std::int64_t knownEpoch = known == m_knownOwners.end() ? 0 : known->second.epoch;
+    const std::int64_t highest = std::max(stored.record.epoch, highestEpoch(definition.shard));
     const std::string &owner = stored.record.vm;
     const std::vector<former_owner> before = formerOwnersAfter(stored.record);
     const shard_record record {.vm = m_options.vm,
                                .incarnation = m_options.incarnation,
-                               .epoch = std::max(stored.record.epoch, knownEpoch) + 1,
+                               .epoch = highest + 1,
                                .former = formerOwnersWithoutStop(before, now),
                                .abrupt = hasEndedAbruptly(stored.record, now)};
     store_transaction transaction
@@ -230,7 +228,7 @@
                {.vm = pending.record.vm,
                 .incarnation = pending.record.incarnation,
                 .epoch = pending.record.epoch});
-    const bool superseded = m_knownOwners[pending.shard].epoch > pending.record.epoch;
+    const bool superseded = highestEpoch(pending.shard) > pending.record.epoch;
     if (!isOwnRecord(pending.record) || superseded)
         return;
     m_held[pending.shard] = {.epoch = pending.record.epoch,
--- a/modules/ownership/shards/shard_ownership_rules.cpp
+++ b/modules/ownership/shards/shard_ownership_rules.cpp
@@ -14,15 +14,25 @@
 
 void shard_ownership::learnOwner(const std::string &shard, const recorded_owner &owner)
 {
-    recorded_owner &known = m_knownOwners[shard];
-    if (owner.epoch <= known.epoch)
+    std::int64_t &highest = m_epochs[shard];
+    if (owner.epoch <= highest)
         return;
-    known = owner;
+    highest = owner.epoch;
+    if (owner.vm.empty())
+        m_knownOwners.erase(shard);
+    else
+        m_knownOwners[shard] = owner;
     const auto held = m_held.find(shard);
     if (held != m_held.end() && owner.epoch > held->second.epoch)
         drop(shard);
 }
 
+std::int64_t shard_ownership::highestEpoch(const std::string &shard) const
+{
+    const auto known = m_epochs.find(shard);
+    return known == m_epochs.end() ? 0 : known->second;
+}
+
 void shard_ownership::learnAcknowledgement(const peer_heartbeat &heartbeat,
                                            const shard_claim &claim, absl::Time now)
 {
--- a/tests/ownership/shard_ownership_test.cpp
+++ b/tests/ownership/shard_ownership_test.cpp
@@ -305,3 +305,23 @@
         CHECK(coldShare(ownership_certainty::SucceedingInDoubt, limit) == 0);
     }
 }
+
+SCENARIO("a shard that nobody can take is given up")
+{
+    ownership_fleet fleet(1, 1, 9);
+    fleet.run(start);
+    REQUIRE(ownerOf(fleet, 0) == 0);
+    CHECK(fleet.at(0).knownOwners().contains(fleet.shardName(0)));
+    fleet.stop(0);
+    fleet.run(absl::Seconds(4));
+
+    THEN("it has no known owner, and the next process takes it with a higher epoch")
+    {
+        CHECK(fleet.isStopped(0));
+        CHECK_FALSE(fleet.at(0).knownOwners().contains(fleet.shardName(0)));
+        fleet.restart(0);
+        fleet.run(start);
+        CHECK(ownerOf(fleet, 0) == 0);
+        CHECK(fleet.epochOf(0, 0) == 3);
+    }
+}
