--- a/tests/ownership/shard_ownership_test.cpp
+++ b/tests/ownership/shard_ownership_test.cpp
@@ -90,6 +90,36 @@
         }
     }
 
+    WHEN("it is paused past its lease and cut off from everything when it resumes")
+    {
+        fleet.pause(owner);
+        fleet.cutStore(owner, true);
+        fleet.partition(1U << owner);
+        fleet.run(absl::Seconds(10));
+        fleet.resume(owner);
+        THEN("it may not grant before it has listened")
+        {
+            CHECK(fleet.epochOf(owner, 0) == 0);
+            fleet.run(absl::Seconds(1));
+            CHECK(fleet.epochOf(owner, 0) == 0);
+            CHECK(fleet.violation().empty());
+        }
+    }
+
+    WHEN("it goes on in a store outage and restarts just before the end of the outage")
+    {
+        fleet.stopStore(true);
+        fleet.run(absl::Seconds(2.25));
+        fleet.restart(owner);
+        fleet.run(absl::Milliseconds(100));
+        fleet.heal();
+        fleet.run(absl::Seconds(10));
+        THEN("its successor waits for its last grants")
+        {
+            CHECK(fleet.violation().empty());
+        }
+    }
+
     WHEN("it restarts at once")
     {
         fleet.restart(owner);
