--- a/tests/ownership/shard_ownership_test.cpp
+++ b/tests/ownership/shard_ownership_test.cpp
@@ -109,10 +109,11 @@
     WHEN("it goes on in a store outage and restarts just before the end of the outage")
     {
         fleet.stopStore(true);
-        fleet.run(absl::Seconds(2.25));
+        fleet.run(absl::Seconds(3.25));
         fleet.restart(owner);
+        fleet.cutStore(owner, true);
         fleet.run(absl::Milliseconds(100));
-        fleet.heal();
+        fleet.stopStore(false);
         fleet.run(absl::Seconds(10));
         THEN("its successor waits for its last grants")
         {
