--- a/apps/scheduler/scheduler_process.cpp
+++ b/apps/scheduler/scheduler_process.cpp
@@ -34,9 +34,9 @@
                          });
                      }})
     , m_storeCalls({.address = m_settings.store, .keyPrefix = m_settings.keyPrefix()})
-    , m_storeWatch({.address = m_settings.store, .keyPrefix = m_settings.keyPrefix()})
     , m_storeWork(storeThreads, mostWaitingWork)
     , m_loadWork(loadThreads, mostWaitingWork)
+    , m_storeWatch({.address = m_settings.store, .keyPrefix = m_settings.keyPrefix()})
 {
 }
 
--- a/apps/scheduler/scheduler_process.h
+++ b/apps/scheduler/scheduler_process.h
@@ -49,12 +49,13 @@
     scheduler_node m_node ABSL_GUARDED_BY(m_mutex);
     message_network m_network;
     store_client m_storeCalls;
-    store_client m_storeWatch;
-    work_queue m_storeWork;
-    work_queue m_loadWork;
     absl::Mutex m_pollMutex;
     std::set<std::string> m_polling ABSL_GUARDED_BY(m_pollMutex);
     absl::Notification m_stop;
+    /** The members below run work that uses those above, and end before them. */
+    work_queue m_storeWork;
+    work_queue m_loadWork;
+    store_client m_storeWatch;
     std::vector<std::thread> m_threads;
 };
 
--- a/modules/fairness/order/fair_order.cpp
+++ b/modules/fairness/order/fair_order.cpp
@@ -105,9 +105,13 @@
     QUETZAL_PRECONDITION(factor >= 1.0);
     m_fleetFactor = factor;
     m_backlogged.clear();
-    for (const auto &[name, entry] : m_accounts)
-        if (entry.backlogged)
-            m_backlogged.emplace(virtualTimeOf(entry), name);
+    m_turns.clear();
+    for (const auto &[name, entry] : m_accounts) {
+        if (!entry.backlogged)
+            continue;
+        m_backlogged.emplace(virtualTimeOf(entry), name);
+        m_turns.emplace(virtualTimeOf(entry) + entry.turnOffset, name);
+    }
 }
 
 void fair_order::raiseLift(const std::string &workspace, double lift)
--- a/modules/protocol/idl/protocol.thrift
+++ b/modules/protocol/idl/protocol.thrift
@@ -73,7 +73,7 @@
     5: list<ticket_outcome> outcomes
 }
 
-/** Router to shard owner: demand and usage, complete for the owner's shards. */
+/** Router to shard owner: demand and usage of the owner's shards. */
 struct router_report {
     1: string router,
     2: i64 incarnation,
@@ -81,7 +81,11 @@
     4: list<service_demand> demands,
     5: list<shard_usage> usages,
     6: i64 configurationRevision,
-    7: bool stopping
+    7: bool stopping,
+    /** True: nothing is left out. False: only what has changed since the last report to this owner. */
+    8: bool complete,
+    /** Asks for fleet views; a router asks one scheduler at a time. */
+    9: bool wantsView
 }
 
 struct grant {
@@ -94,7 +98,9 @@
     7: string workspace,
     /** The grant lapses lifetimeMillis after the router sent the report of this sequence. */
     8: i64 reportSequence,
-    9: i32 lifetimeMillis
+    9: i32 lifetimeMillis,
+    /** Data centre of the target. */
+    10: string dataCentre
 }
 
 struct revocation {
@@ -114,6 +120,7 @@
 struct shard_owner {
     1: string shard,
     2: string serviceName,
+    /** Empty when the shard spans data centres. */
     3: string dataCentre,
     /** Identifier of the VM whose scheduler owns the shard. */
     4: string owner,
@@ -124,7 +131,6 @@
 struct fleet_view {
     1: string scheduler,
     2: i64 configurationRevision,
-    3: string configurationDigest,
     4: list<shard_owner> owners,
     /** False when this scheduler can reach neither the store nor most members. */
     5: bool connected
@@ -158,9 +164,7 @@
     /** Shards that the sender owns, and those that it lost to the receiver. */
     5: list<ownership_claim> claims,
     6: bool storeReachable,
-    /** Revisions in force at the routers that report to this scheduler. */
-    7: map<string, i64> routerRevisions,
-    8: bool stopping
+    7: bool stopping
 }
 
 struct ledger_entry {
--- a/modules/routing/node/router_node.cpp
+++ b/modules/routing/node/router_node.cpp
@@ -190,9 +190,7 @@
         return false;
     if (now >= sent->second + absl::Milliseconds(content.lifetimeMillis))
         return false;
-    const auto shard = m_shards.find(content.shard);
-    const bool inUse = shard != m_shards.end() && m_document
-        && m_document->isDataCentreIn(shard->second.dataCentre);
+    const bool inUse = m_document && m_document->isDataCentreIn(content.dataCentre);
     return inUse && !isIsolated(now);
 }
 
@@ -237,7 +235,7 @@
     if (!changed)
         return;
     bookOf(owner.shard).observeEpoch(owner.epoch);
-    m_owners[owner.owner].due = true;
+    m_owners[owner.owner].completeDue = true;
 }
 
 void router_node::onConfiguration(const protocol::configuration_update &update)
@@ -328,22 +326,29 @@
         m_owners.try_emplace(home);
 
     for (auto &[owner, state] : m_owners) {
-        const bool regular = owner == home || hasBusinessWith(owner);
+        const bool isHome = owner == home;
         const absl::Duration sinceLast = now - state.lastReport;
-        const bool heartbeatDue = regular && sinceLast >= m_options.heartbeatInterval;
-        const bool newsDue = state.due && sinceLast >= m_options.leastReportInterval;
-        if (!heartbeatDue && !newsDue)
+        const bool complete = state.completeDue
+            || (now - state.lastComplete >= m_options.completeInterval && hasBusinessWith(owner));
+        const bool heartbeatDue = isHome && sinceLast >= m_options.heartbeatInterval;
+        const bool newsDue
+            = (state.due || state.completeDue) && sinceLast >= m_options.leastReportInterval;
+        if (!heartbeatDue && !newsDue && !(complete && !state.completeDue))
             continue;
         state.lastReport = now;
+        if (complete)
+            state.lastComplete = now;
         state.due = false;
-        m_actions.emplace_back(
-            outgoing_message {{node_role::Scheduler, owner}, makeReport(owner, now)});
+        state.completeDue = false;
+        m_actions.emplace_back(outgoing_message {{node_role::Scheduler, owner},
+                                                 makeReport(owner, complete, isHome, now)});
     }
     while (!m_sentReports.empty() && m_sentReports.front().second + reportMemory < now)
         m_sentReports.pop_front();
 }
 
-protocol::router_report router_node::makeReport(const std::string &owner, absl::Time now)
+protocol::router_report router_node::makeReport(const std::string &owner, bool complete,
+                                                bool wantsView, absl::Time now)
 {
     protocol::router_report report;
     report.router = m_options.vm;
@@ -351,6 +356,8 @@
     report.sequence = ++m_sequence;
     report.configurationRevision = m_revision;
     report.stopping = m_stopping;
+    report.complete = complete;
+    report.wantsView = wantsView;
     m_sentReports.emplace_back(m_sequence, now);
 
     std::set<std::string> services;
@@ -358,24 +365,50 @@
         if (known.owner != owner)
             continue;
         services.insert(known.service);
-        report.usages.push_back(bookOf(shard).usage(m_sequence));
+        shard_book &book = bookOf(shard);
+        if (complete)
+            report.usages.push_back(book.completeUsage(m_sequence));
+        else if (book.hasNews())
+            report.usages.push_back(book.newUsage(m_sequence));
     }
     for (const std::string &service : services) {
-        protocol::service_demand demand;
-        demand.serviceName = service;
-        for (const queue_summary &summary : m_waiting.summaries(service)) {
-            protocol::workspace_demand item;
-            item.workspace = summary.workspace;
-            item.waiting = summary.waiting;
-            item.headKind = summary.headKind;
-            item.headHint = summary.headHint;
-            demand.workspaces.push_back(std::move(item));
-        }
-        report.demands.push_back(std::move(demand));
+        protocol::service_demand demand = makeDemand(service, m_owners[owner], complete);
+        if (!demand.workspaces.empty())
+            report.demands.push_back(std::move(demand));
     }
     return report;
 }
 
+protocol::service_demand router_node::makeDemand(const std::string &service, owner_state &state,
+                                                 bool complete)
+{
+    protocol::service_demand demand;
+    demand.serviceName = service;
+    const auto add = [&demand](const queue_summary &summary) {
+        protocol::workspace_demand item;
+        item.workspace = summary.workspace;
+        item.waiting = summary.waiting;
+        item.headKind = summary.headKind;
+        item.headHint = summary.headHint;
+        demand.workspaces.push_back(std::move(item));
+    };
+    std::map<std::string, queue_summary> &told = state.told[service];
+    std::map<std::string, queue_summary> present;
+    for (queue_summary &summary : m_waiting.summaries(service))
+        present.emplace(summary.workspace, std::move(summary));
+    for (const auto &[workspace, summary] : present) {
+        const auto before = told.find(workspace);
+        if (complete || before == told.end() || !(before->second == summary))
+            add(summary);
+    }
+    for (const auto &[workspace, summary] : told) {
+        if (!complete && !present.contains(workspace))
+            add({.workspace = workspace, .waiting = 0, .headKind = "", .headHint = 0.0});
+    }
+    told = std::move(present);
+    return demand;
+}
+
 void router_node::markDue(const std::string &service)
 {
     for (const auto &[shard, known] : m_shards) {
--- a/modules/routing/node/router_node.h
+++ b/modules/routing/node/router_node.h
@@ -31,10 +31,12 @@
     int mostWaiting = 4000;
     /** Most attempts at targets for one request. */
     int mostAttempts = 6;
-    /** Pause between two reports to an owner that has nothing new. */
-    absl::Duration heartbeatInterval = absl::Milliseconds(250);
+    /** Pause between two complete reports to an owner. */
+    absl::Duration completeInterval = absl::Seconds(1);
+    /** Pause between two reports to the scheduler that is asked for fleet views. */
+    absl::Duration heartbeatInterval = absl::Milliseconds(500);
     /** Least pause between two reports to the same owner. */
-    absl::Duration leastReportInterval = absl::Milliseconds(1);
+    absl::Duration leastReportInterval = absl::Milliseconds(20);
     /** Without a connected scheduler for this long the router stops taking new work. */
     absl::Duration isolationTimeout = absl::Milliseconds(1500);
     /** Without a fleet view for this long another scheduler is asked. */
@@ -105,7 +107,11 @@
     struct owner_state
     {
         absl::Time lastReport = absl::InfinitePast();
+        absl::Time lastComplete = absl::InfinitePast();
         bool due = false;
+        bool completeDue = false;
+        /** What the owner was last told to wait, by service and workspace. */
+        std::map<std::string, std::map<std::string, queue_summary>> told;
     };
     struct known_shard
     {
@@ -130,7 +136,10 @@
     void refuseExpired(absl::Time now);
     void refuseWhileIsolated(absl::Time now);
     void sendReports(absl::Time now);
-    protocol::router_report makeReport(const std::string &owner, absl::Time now);
+    protocol::router_report makeReport(const std::string &owner, bool complete, bool wantsView,
+                                       absl::Time now);
+    protocol::service_demand makeDemand(const std::string &service, owner_state &state,
+                                        bool complete);
     void markDue(const std::string &service);
     void markOwnerDue(const std::string &shard);
     bool hasBusinessWith(const std::string &owner) const;
--- a/modules/routing/node/shard_book.cpp
+++ b/modules/routing/node/shard_book.cpp
@@ -18,6 +18,9 @@
         return;
     m_epoch = epoch;
     m_highestTicket = 0;
+    m_highestReported = 0;
+    for (auto &[key, entry] : m_running)
+        entry.reported = false;
     for (reported_outcome &item : m_outcomes)
         item.firstSequence = 0;
 }
@@ -51,14 +54,14 @@
     running.requestKind = request.requestKind;
     running.hint = request.hint;
     running.units = 0.0;
-    m_running.insert_or_assign({content.epoch, content.ticket}, std::move(running));
+    m_running.insert_or_assign({content.epoch, content.ticket}, running_entry {std::move(running)});
 }
 
 void shard_book::setUnits(const ticket_reference &ticket, double units)
 {
     const auto found = m_running.find({ticket.epoch, ticket.ticket});
     if (found != m_running.end())
-        found->second.units = units;
+        found->second.ticket.units = units;
 }
 
 void shard_book::end(const ticket_reference &ticket, protocol::ticket_end ending,
@@ -70,11 +73,11 @@
     protocol::ticket_outcome outcome;
     outcome.epoch = ticket.epoch;
     outcome.ticket = ticket.ticket;
-    outcome.target = found->second.target;
-    outcome.workspace = found->second.workspace;
+    outcome.target = found->second.ticket.target;
+    outcome.workspace = found->second.ticket.workspace;
     outcome.ending = ending;
-    outcome.requestKind = found->second.requestKind;
-    outcome.hint = found->second.hint;
+    outcome.requestKind = found->second.ticket.requestKind;
+    outcome.hint = found->second.ticket.hint;
     outcome.units = result.units;
     outcome.signal = result.signal;
     outcome.targetInstance = result.targetInstance;
@@ -94,19 +97,52 @@
     m_outcomes.push_back({std::move(outcome)});
 }
 
-protocol::shard_usage shard_book::usage(std::int64_t sequence)
+protocol::shard_usage shard_book::completeUsage(std::int64_t sequence)
 {
-    protocol::shard_usage result;
-    result.shard = m_shard;
-    result.epochKnown = m_epoch;
-    result.highestTicket = m_highestTicket;
-    for (const auto &[key, running] : m_running)
-        result.running.push_back(running);
+    protocol::shard_usage result = emptyUsage();
+    for (auto &[key, entry] : m_running) {
+        entry.reported = true;
+        result.running.push_back(entry.ticket);
+    }
     for (reported_outcome &item : m_outcomes) {
         if (item.firstSequence == 0)
             item.firstSequence = sequence;
         result.outcomes.push_back(item.outcome);
     }
+    m_highestReported = m_highestTicket;
+    return result;
+}
+
+protocol::shard_usage shard_book::newUsage(std::int64_t sequence)
+{
+    protocol::shard_usage result = emptyUsage();
+    for (auto &[key, entry] : m_running) {
+        if (!std::exchange(entry.reported, true))
+            result.running.push_back(entry.ticket);
+    }
+    for (reported_outcome &item : m_outcomes) {
+        if (item.firstSequence != 0)
+            continue;
+        item.firstSequence = sequence;
+        result.outcomes.push_back(item.outcome);
+    }
+    m_highestReported = m_highestTicket;
+    return result;
+}
+
+bool shard_book::hasNews() const
+{
+    return m_highestTicket != m_highestReported
+        || std::any_of(m_outcomes.begin(), m_outcomes.end(),
+                       [](const reported_outcome &item) { return item.firstSequence == 0; });
+}
+
+protocol::shard_usage shard_book::emptyUsage() const
+{
+    protocol::shard_usage result;
+    result.shard = m_shard;
+    result.epochKnown = m_epoch;
+    result.highestTicket = m_highestTicket;
     return result;
 }
 
--- a/modules/routing/node/shard_book.h
+++ b/modules/routing/node/shard_book.h
@@ -49,14 +49,16 @@
     /** A received ticket is given back unused. */
     void giveBack(const protocol::grant &content);
 
-    /** The usage to report; sequence is the report's. */
-    protocol::shard_usage usage(std::int64_t sequence);
+    /** Everything of this shard; sequence is the report's. */
+    protocol::shard_usage completeUsage(std::int64_t sequence);
+    /** Only what no report of this epoch has carried yet; sequence is the report's. */
+    protocol::shard_usage newUsage(std::int64_t sequence);
     /** The owner has received every report up to this sequence. */
     void acknowledge(std::int64_t sequence);
 
     std::int64_t epochKnown() const { return m_epoch; }
-    bool hasRunning() const { return !m_running.empty(); }
-    bool hasUnreported() const { return !m_outcomes.empty(); }
+    /** True when newUsage() would carry something. */
+    bool hasNews() const;
     /** Nothing is running and nothing is left to report. */
     bool isIdle() const { return m_running.empty() && m_outcomes.empty(); }
 
@@ -72,7 +74,16 @@
     std::string m_shard;
     std::int64_t m_epoch = 0;
     std::int64_t m_highestTicket = 0;
-    std::map<ticket_key, protocol::running_ticket> m_running;
+    struct running_entry
+    {
+        protocol::running_ticket ticket;
+        bool reported = false;
+    };
+
+    protocol::shard_usage emptyUsage() const;
+
+    std::map<ticket_key, running_entry> m_running;
+    std::int64_t m_highestReported = 0;
     std::vector<reported_outcome> m_outcomes;
 };
 
--- a/modules/scheduling/node/scheduler_node.cpp
+++ b/modules/scheduling/node/scheduler_node.cpp
@@ -18,6 +18,17 @@
 /** A renewal that a peer has not answered after this long is forgotten. */
 constexpr absl::Duration relayTimeout = absl::Seconds(5);
 
+/** The data centre of all targets; empty when they are in several. */
+std::string dataCentreOf(const std::vector<target_listing> &targets)
+{
+    const std::string &first = targets.front().dataCentre;
+    const bool same
+        = std::all_of(targets.begin(), targets.end(), [&first](const target_listing &target) {
+              return target.dataCentre == first;
+          });
+    return same ? first : std::string();
+}
+
 } // namespace
 
 scheduler_node::scheduler_node(scheduler_node_options options)
@@ -157,6 +168,7 @@
 {
     router_state &router = m_routers[from.vm];
     router.heard = now;
+    router.wantsView = report.wantsView;
     router.revision = report.configurationRevision;
     router.sequence = report.sequence;
     for (auto &[name, shard] : m_shards)
@@ -184,6 +196,8 @@
              .owner = {.vm = claim.vm, .incarnation = claim.incarnation, .epoch = claim.epoch}});
     m_ownership.onPeerHeartbeat(peer, now);
     m_peersHeard[heartbeat.vm] = now;
+    for (auto &[name, shard] : m_shards)
+        shard.onHomeIncarnation(heartbeat.vm, heartbeat.incarnation);
     m_peerRevisions[heartbeat.vm] = heartbeat.configurationRevision;
     if (heartbeat.configurationRevision <= m_follower.revision())
         return;
@@ -237,9 +251,9 @@
     if (asked == m_askedRenewals.end())
         return;
     if (reply.renewed)
-        m_ownership.onRelayedRenewal(asked->second, now);
+        m_ownership.onRelayedRenewal(asked->second.sentAt, now);
     if (reply.refused)
-        m_ownership.onRelayRefused(m_ownership.lease());
+        m_ownership.onRelayRefused(asked->second.lease);
     m_askedRenewals.erase(asked);
 }
 
@@ -298,7 +312,7 @@
     for (const auto &[shard, targets] : byShard)
         m_definitions.push_back({.shard = shard,
                                  .service = targets.front().service,
-                                 .dataCentre = targets.front().dataCentre});
+                                 .dataCentre = dataCentreOf(targets)});
     m_ownership.setShards(m_definitions);
 
     std::set<std::string> routers;
@@ -306,7 +320,8 @@
         routers.insert(member.vm);
     std::map<std::string, std::vector<std::string>> shardsByService;
     for (const shard_definition &definition : m_definitions) {
-        if (current->document.isDataCentreIn(definition.dataCentre))
+        const bool spans = definition.dataCentre.empty();
+        if (spans || current->document.isDataCentreIn(definition.dataCentre))
             shardsByService[definition.service].push_back(definition.shard);
     }
     for (auto &[name, shard] : m_shards) {
@@ -372,13 +387,11 @@
     for (auto &[vm, router] : m_routers) {
         const bool changed = router.ownersSent != fingerprint;
         const bool due = changed || now - router.viewSentAt >= m_options.fleetViewInterval;
-        if (!due || now - router.heard > m_options.routerTimeout)
+        if (!due || !router.wantsView || now - router.heard > m_options.routerTimeout)
             continue;
         protocol::fleet_view view;
         view.scheduler = m_options.vm;
         view.configurationRevision = m_follower.revision();
-        if (const auto current = m_follower.current())
-            view.configurationDigest = current->digest;
         view.connected = m_ownership.isConnected(now);
         if (changed || now - router.ownersSentAt >= m_options.ownersRepeat) {
             view.owners = owners;
@@ -419,7 +432,7 @@
 void scheduler_node::askForRenewal(absl::Time now)
 {
     std::erase_if(m_askedRenewals,
-                  [now](const auto &item) { return now - item.second > relayTimeout; });
+                  [now](const auto &item) { return now - item.second.sentAt > relayTimeout; });
     if (!m_ownership.wantsRelay(now) || now - m_lastRelay < relayInterval || m_members.size() < 2)
         return;
     m_lastRelay = now;
@@ -430,7 +443,7 @@
     request.vm = m_options.vm;
     request.lease = m_ownership.lease();
     request.requestId = static_cast<std::int64_t>(++m_relaySequence);
-    m_askedRenewals[request.requestId] = now;
+    m_askedRenewals[request.requestId] = {.sentAt = now, .lease = request.lease};
     send(node_role::Scheduler, m_members[m_relayPeer].vm, request);
 }
 
@@ -457,6 +470,8 @@
     const auto current = m_follower.current();
     const service_definition *service
         = current ? current->document.findService(target.service) : nullptr;
+    if (service != nullptr && service->unit == service_unit::AnsweredRequests)
+        return target.service + "/all";
     const int shards = service == nullptr ? 1 : service->shardsPerDataCentre;
     int chosen = 0;
     std::uint64_t heaviest = 0;
--- a/modules/scheduling/node/scheduler_node.h
+++ b/modules/scheduling/node/scheduler_node.h
@@ -27,8 +27,8 @@
     std::int64_t incarnation = 0;
     /** Store key prefix of the environment, such as "/quetzal/production". */
     std::string keyPrefix;
-    absl::Duration heartbeatInterval = absl::Milliseconds(250);
-    absl::Duration fleetViewInterval = absl::Milliseconds(250);
+    absl::Duration heartbeatInterval = absl::Milliseconds(400);
+    absl::Duration fleetViewInterval = absl::Milliseconds(400);
     /** Pause between two exchanges of a shard's charges with the homes. */
     absl::Duration ledgerInterval = absl::Milliseconds(200);
     /** The same for services counted in answered requests, whose costs are known exactly. */
@@ -80,10 +80,16 @@
         absl::Time heard;
         std::int64_t revision = 0;
         std::int64_t sequence = 0;
+        bool wantsView = false;
         std::size_t ownersSent = 0;
         absl::Time ownersSentAt = absl::InfinitePast();
         absl::Time viewSentAt = absl::InfinitePast();
     };
+    struct asked_renewal
+    {
+        absl::Time sentAt;
+        std::int64_t lease = 0;
+    };
     struct relayed_renewal
     {
         std::string peer;
@@ -122,7 +128,7 @@
     std::map<std::string, ownership_certainty> m_certainties;
     std::map<std::string, router_state> m_routers;
     std::map<std::uint64_t, relayed_renewal> m_relayed;
-    std::map<std::int64_t, absl::Time> m_askedRenewals;
+    std::map<std::int64_t, asked_renewal> m_askedRenewals;
     std::map<std::string, std::int64_t> m_peerRevisions;
     std::int64_t m_heartbeatSequence = 0;
     std::uint64_t m_relaySequence = 0;
--- a/modules/scheduling/shard/demand_table.cpp
+++ b/modules/scheduling/shard/demand_table.cpp
@@ -8,16 +8,39 @@
                                             const protocol::service_demand &demand)
 {
     std::set<std::string> changed = forget(router);
+    changed.merge(update(router, demand));
+    return changed;
+}
+
+std::set<std::string> demand_table::update(const std::string &router,
+                                           const protocol::service_demand &demand)
+{
+    std::set<std::string> changed;
     for (const protocol::workspace_demand &item : demand.workspaces) {
-        m_byWorkspace[item.workspace][router] = {.waiting = item.waiting,
-                                                 .pending = 0,
-                                                 .headKind = item.headKind,
-                                                 .headHint = item.headHint};
         changed.insert(item.workspace);
+        auto &byRouter = m_byWorkspace[item.workspace];
+        if (item.waiting > 0)
+            byRouter[router] = {.waiting = item.waiting,
+                                .pending = 0,
+                                .headKind = item.headKind,
+                                .headHint = item.headHint};
+        else
+            byRouter.erase(router);
+        if (byRouter.empty())
+            m_byWorkspace.erase(item.workspace);
     }
     return changed;
 }
 
+void demand_table::clearPending(const std::string &router)
+{
+    for (auto &[workspace, byRouter] : m_byWorkspace) {
+        const auto found = byRouter.find(router);
+        if (found != byRouter.end())
+            found->second.pending = 0;
+    }
+}
+
 std::set<std::string> demand_table::forget(const std::string &router)
 {
     std::set<std::string> changed;
--- a/modules/scheduling/shard/demand_table.h
+++ b/modules/scheduling/shard/demand_table.h
@@ -31,6 +31,10 @@
     /** Replaces everything known of a router. Returns the workspaces whose demand has changed. */
     std::set<std::string> replace(const std::string &router,
                                   const protocol::service_demand &demand);
+    /** Replaces what is known of a router for the listed workspaces only. */
+    std::set<std::string> update(const std::string &router, const protocol::service_demand &demand);
+    /** Sets the grants under way to a router to zero. */
+    void clearPending(const std::string &router);
     /** Forgets a router. Returns the workspaces that waited there. */
     std::set<std::string> forget(const std::string &router);
     /** Counts a grant that the router has not seen yet, or with -1 one that it has. */
--- a/modules/scheduling/shard/shard_scheduler.cpp
+++ b/modules/scheduling/shard/shard_scheduler.cpp
@@ -61,16 +61,18 @@
     const service_definition *service = document.findService(m_options.service.name);
     if (service != nullptr)
         m_options.service = *service;
-    m_dataCentreIn = service != nullptr && document.isDataCentreIn(m_options.dataCentre);
-    m_excludedWorkspaces.clear();
+    m_dataCentresIn.clear();
+    for (const data_centre_definition &dataCentre : document.dataCentres) {
+        if (dataCentre.state == data_centre_state::In)
+            m_dataCentresIn.insert(dataCentre.name);
+    }
+    m_allowedDataCentres.clear();
     for (const workspace_definition &workspace : document.workspaces) {
         m_order.setShare(workspace.name, workspace.share);
         m_shares[workspace.name] = workspace.share;
-        const std::vector<std::string> &allowed = workspace.dataCentres;
-        const bool excluded = !allowed.empty()
-            && std::find(allowed.begin(), allowed.end(), m_options.dataCentre) == allowed.end();
-        if (excluded)
-            m_excludedWorkspaces.insert(workspace.name);
+        if (!workspace.dataCentres.empty())
+            m_allowedDataCentres[workspace.name].insert(workspace.dataCentres.begin(),
+                                                        workspace.dataCentres.end());
     }
     for (auto &[name, target] : m_targets)
         target.admission.setLimits(m_options.service.coldSlotsPerTarget,
@@ -101,6 +103,7 @@
     if (shards == m_serviceShards)
         return;
     m_serviceShards = std::move(shards);
+    m_order.setFleetFactor(std::max<double>(1.0, static_cast<double>(m_serviceShards.size())));
     for (const auto &[workspace, mean] : m_meanCharges)
         updateTurn(workspace);
 }
@@ -144,7 +147,8 @@
         if (item.serviceName == m_options.service.name)
             demand = item;
     }
-    const std::set<std::string> changed = m_demand.replace(report.router, demand);
+    const std::set<std::string> changed = report.complete ? m_demand.replace(report.router, demand)
+                                                          : m_demand.update(report.router, demand);
     recountPending(report.router);
     updateBacklog(changed);
 }
@@ -166,23 +170,22 @@
 std::vector<addressed_grant> shard_scheduler::grant(ownership_certainty certainty, absl::Time now)
 {
     std::vector<addressed_grant> grants;
-    if (!m_dataCentreIn || m_superseded)
+    if (m_superseded)
         return grants;
-    const bool awaitsTotals = now - m_options.since < m_options.ledgerWait;
-    const auto isEligible = [this, awaitsTotals](const std::string &workspace) {
-        if (awaitsTotals && !m_knownTotals.contains(workspace))
-            return false;
-        return !m_excludedWorkspaces.contains(workspace) && m_demand.hasUngranted(workspace);
-    };
-    while (true) {
-        const std::string target = freestTarget(certainty, now);
-        if (target.empty())
-            return grants;
-        const std::optional<std::string> workspace = m_order.next(isEligible);
-        if (!workspace)
-            return grants;
-        grants.push_back(issue(*workspace, target, now));
+    bool granted = true;
+    while (granted) {
+        granted = false;
+        for (const std::string &target : freeTargets(certainty, now)) {
+            const std::string &dataCentre = m_targets.at(target).admission.listing().dataCentre;
+            const std::optional<std::string> workspace = nextWorkspace(dataCentre, now);
+            if (!workspace)
+                continue;
+            grants.push_back(issue(*workspace, target, now));
+            granted = true;
+            break;
+        }
     }
+    return grants;
 }
 
 std::vector<addressed_revocation> shard_scheduler::revoke(absl::Time now)
@@ -222,6 +225,11 @@
     m_askedTotals.erase(home);
 }
 
+void shard_scheduler::onHomeIncarnation(const std::string &home, std::int64_t incarnation)
+{
+    m_ledger.onHomeIncarnation(home, incarnation);
+}
+
 void shard_scheduler::onHomesMoved()
 {
     m_ledger.onHomesMoved();
@@ -265,10 +273,11 @@
         takeRunning(report.router, running);
     for (const protocol::ticket_outcome &outcome : usage.outcomes)
         takeOutcome(outcome, now);
-    releaseUnlisted(report.router, usage, now);
+    if (report.complete)
+        releaseUnlisted(report.router, usage, now);
     router_state &router = m_routers[report.router];
     if (usage.epochKnown == m_options.epoch) {
-        router.complete = true;
+        router.complete = router.complete || report.complete;
         router.highestTicket = std::max(router.highestTicket, usage.highestTicket);
     }
 }
@@ -365,6 +374,7 @@
 
 void shard_scheduler::recountPending(const std::string &router)
 {
+    m_demand.clearPending(router);
     const std::int64_t seen = m_routers[router].highestTicket;
     for (const auto &[key, ticket] : m_tickets) {
         const bool unseen = key.first == m_options.epoch && key.second > seen;
@@ -465,18 +475,34 @@
     return limit - std::max(target.inUse, assumed);
 }
 
-std::string shard_scheduler::freestTarget(ownership_certainty certainty, absl::Time now) const
+std::vector<std::string> shard_scheduler::freeTargets(ownership_certainty certainty,
+                                                      absl::Time now) const
 {
-    std::string best;
-    int mostFree = 0;
+    std::vector<std::pair<int, std::string>> free;
     for (const auto &[name, target] : m_targets) {
-        const int free = freeSlots(target, certainty, now);
-        if (free <= mostFree)
-            continue;
-        mostFree = free;
-        best = name;
+        const int slots = freeSlots(target, certainty, now);
+        if (slots > 0 && m_dataCentresIn.contains(target.admission.listing().dataCentre))
+            free.emplace_back(-slots, name);
     }
-    return best;
+    std::sort(free.begin(), free.end());
+    std::vector<std::string> names;
+    for (auto &[slots, name] : free)
+        names.push_back(std::move(name));
+    return names;
+}
+
+std::optional<std::string> shard_scheduler::nextWorkspace(const std::string &dataCentre,
+                                                          absl::Time now) const
+{
+    const bool awaitsTotals = now - m_options.since < m_options.ledgerWait;
+    return m_order.next([&](const std::string &workspace) {
+        if (awaitsTotals && !m_knownTotals.contains(workspace))
+            return false;
+        const auto allowed = m_allowedDataCentres.find(workspace);
+        const bool excluded
+            = allowed != m_allowedDataCentres.end() && !allowed->second.contains(dataCentre);
+        return !excluded && m_demand.hasUngranted(workspace);
+    });
 }
 
 addressed_grant shard_scheduler::issue(const std::string &workspace, const std::string &target,
@@ -508,6 +534,7 @@
     result.content.ticket = ticket;
     result.content.target = target;
     result.content.address = m_targets.at(target).admission.listing().address;
+    result.content.dataCentre = m_targets.at(target).admission.listing().dataCentre;
     result.content.serviceName = m_options.service.name;
     result.content.workspace = workspace;
     result.content.reportSequence = m_routers[*router].sequence;
--- a/modules/scheduling/shard/shard_scheduler.h
+++ b/modules/scheduling/shard/shard_scheduler.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -24,6 +25,7 @@
 struct shard_scheduler_options
 {
     std::string shard;
+    /** Empty when the shard spans data centres. */
     std::string dataCentre;
     std::int64_t epoch = 0;
     service_definition service;
@@ -123,6 +125,8 @@
     std::vector<std::pair<std::string, ledger_change>>
     collectLedger(const std::function<std::string(const std::string &workspace)> &homeOf);
     void onLedgerAnswer(const std::string &home, const ledger_answer &answer);
+    /** A home has started anew, as its heartbeat says. */
+    void onHomeIncarnation(const std::string &home, std::int64_t incarnation);
     /** Homes may have moved after a change of the members. */
     void onHomesMoved();
 
@@ -186,7 +190,8 @@
     bool isComplete(absl::Time now) const;
     bool isSilent(const target_state &target, absl::Time now) const;
     int freeSlots(const target_state &target, ownership_certainty certainty, absl::Time now) const;
-    std::string freestTarget(ownership_certainty certainty, absl::Time now) const;
+    std::vector<std::string> freeTargets(ownership_certainty certainty, absl::Time now) const;
+    std::optional<std::string> nextWorkspace(const std::string &dataCentre, absl::Time now) const;
     addressed_grant issue(const std::string &workspace, const std::string &target, absl::Time now);
 
     shard_scheduler_options m_options;
@@ -201,13 +206,15 @@
     std::vector<std::string> m_serviceShards;
     /** Mean charge of a workspace's requests at their grant. */
     std::map<std::string, double> m_meanCharges;
-    std::set<std::string> m_excludedWorkspaces;
+    /** Data centres in use. */
+    std::set<std::string> m_dataCentresIn;
+    /** Workspaces that only some data centres may serve, with these. */
+    std::map<std::string, std::set<std::string>> m_allowedDataCentres;
     /** Workspaces asked of each home, and those whose totals have been answered. */
     std::map<std::string, std::set<std::string>> m_askedTotals;
     std::set<std::string> m_knownTotals;
     ticket_map m_tickets;
     std::int64_t m_lastTicket = 0;
-    bool m_dataCentreIn = false;
     bool m_superseded = false;
 };
 
--- a/tests/fleet/fleet_model.cpp
+++ b/tests/fleet/fleet_model.cpp
@@ -4,6 +4,7 @@
 #include "configuration/revision/configuration_head.h"
 #include "foundation/errors/precondition.h"
 #include "foundation/hashing/stable_hash.h"
+#include "protocol/messages/message_codec.h"
 
 #include <algorithm>
 #include <cmath>
@@ -19,6 +20,7 @@
 constexpr absl::Duration listInterval = absl::Milliseconds(500);
 constexpr absl::Duration attemptDelay = absl::Milliseconds(1);
 constexpr absl::Duration gapInterval = absl::Milliseconds(50);
+constexpr std::size_t frameHeaderBytes = 4;
 constexpr double unitsPerSecond = 100.0;
 constexpr double largestCost = 400.0;
 constexpr double meanLogCost = 4.2;
@@ -331,6 +333,8 @@
 void fleet_model::sendMessage(const node_id &from, const outgoing_message &outgoing)
 {
     ++m_messages;
+    const std::size_t frame = encodeMessage(outgoing.content).size() + frameHeaderBytes;
+    m_bytes[outgoing.content.index()] += static_cast<std::int64_t>(frame);
     const packet content {.from = from, .to = outgoing.to, .content = outgoing.content};
     const int copies = m_random.uniform() < m_repetition ? 2 : 1;
     for (int copy = 0; copy < copies; ++copy) {
--- a/tests/fleet/fleet_model.h
+++ b/tests/fleet/fleet_model.h
@@ -135,6 +135,8 @@
     void resetIdle();
     /** Messages put into the network so far. */
     std::int64_t messages() const { return m_messages; }
+    /** Bytes put into the network so far by each type of message, framing included. */
+    const std::map<std::size_t, std::int64_t> &bytesByType() const { return m_bytes; }
     std::string workspaceName(int index) const { return "workspace-" + std::to_string(index); }
     std::string dataCentreName(int index) const { return "dc-" + std::to_string(index); }
 
@@ -199,6 +201,7 @@
     std::vector<timed_call> m_queue;
     std::int64_t m_order = 0;
     std::int64_t m_messages = 0;
+    std::map<std::size_t, std::int64_t> m_bytes;
     std::set<int> m_group;
     std::set<int> m_storeCut;
     std::set<int> m_outDataCentres;
