--- a/modules/routing/node/router_node.cpp
+++ b/modules/routing/node/router_node.cpp
@@ -88,11 +88,7 @@
 void router_node::onCallerGone(request_id request, absl::Time /*now*/)
 {
     if (m_waiting.remove(request)) {
-        m_attempts.erase(request);
-        m_actions.emplace_back(finish_request {.request = request,
-                                               .code = result_code::CallerGone,
-                                               .execution = execution_state::NotRun,
-                                               .retryAfter = absl::ZeroDuration()});
+        finish({.id = request}, result_code::CallerGone, execution_state::NotRun);
         return;
     }
     const auto found = m_running.find(request);
@@ -255,6 +251,8 @@
                          execution_state execution)
 {
     m_attempts.erase(request.id);
+    if (m_mayHaveRun.erase(request.id) > 0 && execution == execution_state::NotRun)
+        execution = execution_state::OutcomeUnknown;
     m_actions.emplace_back(finish_request {
         .request = request.id, .code = code, .execution = execution, .retryAfter = retryAdvice});
 }
@@ -297,6 +295,8 @@
             = costsBudget ? result_code::DeadlineDuringAnswer : result_code::DeadlineBeforeDispatch;
         return finish(request, late, execution);
     }
+    if (costsBudget)
+        m_mayHaveRun.insert(request.id);
     const bool allowed = running.attempts < m_options.mostAttempts
         && (!costsBudget || m_retries.trySpend(request.service));
     if (!allowed)
--- a/modules/routing/node/router_node.h
+++ b/modules/routing/node/router_node.h
@@ -8,6 +8,7 @@
 #include "routing/request/retry_budget.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -152,6 +153,8 @@
     retry_budget m_retries;
     absl::flat_hash_map<request_id, running_request> m_running;
     absl::flat_hash_map<request_id, std::int64_t> m_attempts;
+    /** Requests of which an earlier attempt was sent and lost; they may have run. */
+    absl::flat_hash_set<request_id> m_mayHaveRun;
     std::map<std::string, shard_book> m_books;
     std::map<std::string, known_shard> m_shards;
     std::map<std::string, owner_state> m_owners;
--- a/modules/scheduling/node/scheduler_node.cpp
+++ b/modules/scheduling/node/scheduler_node.cpp
@@ -152,14 +152,16 @@
         if (now - router.heard <= m_options.routerTimeout)
             result.routerRevisions[vm] = router.revision;
     }
-    for (const auto &[name, shard] : m_shards)
+    for (const auto &[name, certainty] : m_certainties) {
+        const shard_scheduler &shard = m_shards.at(name);
         result.owned.push_back({.shard = name,
                                 .service = shard.options().service.name,
                                 .dataCentre = shard.options().dataCentre,
                                 .epoch = shard.options().epoch,
-                                .certainty = m_certainties.at(name),
+                                .certainty = certainty,
                                 .targets = shard.targetStatus(now),
                                 .workspaces = shard.workspaceStatus()});
+    }
     return result;
 }
 
@@ -272,30 +274,44 @@
     const auto current = m_follower.current();
     if (!current)
         return;
-    std::set<std::string> owned;
+    m_certainties.clear();
     for (const owned_shard &item : m_ownership.ownedShards(now)) {
         const auto definition
             = std::find_if(m_definitions.begin(), m_definitions.end(),
                            [&item](const auto &known) { return known.shard == item.shard; });
         if (definition == m_definitions.end())
             continue;
-        owned.insert(item.shard);
         m_certainties[item.shard] = item.certainty;
         const auto existing = m_shards.find(item.shard);
-        if (existing != m_shards.end() && existing->second.options().epoch == item.epoch)
-            continue;
-        m_shards.erase(item.shard);
-        const service_definition *service = current->document.findService(definition->service);
-        m_shards.emplace(item.shard,
-                         shard_scheduler({.shard = item.shard,
-                                          .dataCentre = definition->dataCentre,
-                                          .epoch = item.epoch,
-                                          .service = *service,
-                                          .since = item.since},
-                                         current->document));
-        updateTargets(now);
+        if (existing == m_shards.end() || existing->second.options().epoch != item.epoch)
+            openShard(item, *definition, now);
     }
-    std::erase_if(m_shards, [&owned](const auto &item) { return !owned.contains(item.first); });
+    std::erase_if(m_shards, [this](const auto &item) {
+        return !m_certainties.contains(item.first) && !isOwnEpoch(item.second.options());
+    });
+}
+
+void scheduler_node::openShard(const owned_shard &owned, const shard_definition &definition,
+                               absl::Time now)
+{
+    const configuration_document &document = m_follower.current()->document;
+    m_shards.erase(owned.shard);
+    m_shards.emplace(owned.shard,
+                     shard_scheduler({.shard = owned.shard,
+                                      .dataCentre = definition.dataCentre,
+                                      .epoch = owned.epoch,
+                                      .service = *document.findService(definition.service),
+                                      .since = owned.since,
+                                      .lastTicket = absl::ToUnixMicros(now)},
+                                     document));
+    updateTargets(now);
+}
+
+bool scheduler_node::isOwnEpoch(const shard_scheduler_options &shard) const
+{
+    const auto known = m_ownership.knownOwners().find(shard.shard);
+    return known != m_ownership.knownOwners().end() && known->second.vm == m_options.vm
+        && known->second.incarnation == m_options.incarnation && known->second.epoch == shard.epoch;
 }
 
 void scheduler_node::updateTargets(absl::Time now)
@@ -335,7 +351,10 @@
 {
     std::map<std::string, protocol::grant_batch> batches;
     for (auto &[name, shard] : m_shards) {
-        for (addressed_grant &item : shard.grant(m_certainties.at(name), now))
+        const auto certainty = m_certainties.find(name);
+        if (certainty == m_certainties.end())
+            continue;
+        for (addressed_grant &item : shard.grant(certainty->second, now))
             batches[item.router].grants.push_back(std::move(item.content));
         for (addressed_revocation &item : shard.revoke(now))
             batches[item.router].revocations.push_back(std::move(item.content));
--- a/modules/scheduling/node/scheduler_node.h
+++ b/modules/scheduling/node/scheduler_node.h
@@ -105,6 +105,9 @@
     void onRenewalReply(const protocol::renewal_reply &reply, absl::Time now);
     void onNewConfiguration(absl::Time now);
     void reconcileShards(absl::Time now);
+    void openShard(const owned_shard &owned, const shard_definition &definition, absl::Time now);
+    /** True when no other owner than this scheduler is known to have followed on this epoch. */
+    bool isOwnEpoch(const shard_scheduler_options &shard) const;
     void updateTargets(absl::Time now);
     void grantAll(absl::Time now);
     void sendHeartbeats(absl::Time now);
--- a/modules/scheduling/shard/shard_scheduler.cpp
+++ b/modules/scheduling/shard/shard_scheduler.cpp
@@ -53,6 +53,7 @@
     , m_ledger(m_options.service.name,
                toText(ledger_writer_name {.shard = m_options.shard, .epoch = m_options.epoch}))
 {
+    m_lastTicket = m_options.lastTicket;
     setConfiguration(document);
 }
 
--- a/modules/scheduling/shard/shard_scheduler.h
+++ b/modules/scheduling/shard/shard_scheduler.h
@@ -31,6 +31,8 @@
     service_definition service;
     /** When this scheduler took the shard over. */
     absl::Time since;
+    /** Tickets are numbered above this; an epoch never uses a number twice. */
+    std::int64_t lastTicket = 0;
     /** How long after its report a router may use a grant. */
     absl::Duration grantLifetime = absl::Seconds(2);
     /** A router that is silent for this long has its tickets released. */
