--- a/tests/fleet/found_fault_test.cpp
+++ b/tests/fleet/found_fault_test.cpp
@@ -30,5 +30,5 @@
     runScript(fleet, {{fault_kind::PauseRouter, 0, 0, 12}, {fault_kind::KillTarget, 0, 0, 1}});
     fleet.setGenerating(false);
     fleet.run(absl::Minutes(1));
-    CHECK(violations(fleet) == std::vector<std::string> {});
+    CHECK(violations(fleet).empty());
 }
