--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -3,18 +3,21 @@
 #include "apps/router/router_process.h"
 #include "apps/router/router_settings.h"
 #include "telemetry/telemetry.h"
+#include "transport/http/http_server_host.h"
 
 #include <nlohmann/json.hpp>
 
 #include <iostream>
-#include <thread>
+#include <system_error>
 
 namespace quetzal {
 
 namespace {
 
 constexpr char program[] = "quetzal-router";
-constexpr int statusThreads = 4;
+constexpr std::size_t statusThreads = 4;
+/** Bytes of a request beside its body. */
+constexpr std::size_t mostHeaderBytes = std::size_t {64} * 1024;
 constexpr int serviceUnavailable = 503;
 /** How long requests are still accepted after the health check has begun to fail. */
 constexpr absl::Duration drainDelay = absl::Seconds(2);
@@ -39,9 +42,6 @@
 void installStatus(httplib::Server &server, const router_settings &settings,
                    router_process &process, metric_registry &metrics, std::atomic<bool> &draining)
 {
-    server.new_task_queue = [] {
-        return new httplib::ThreadPool(statusThreads);
-    };
     server.Get("/healthz", [&](const httplib::Request &, httplib::Response &response) {
         const router_status status = process.status();
         const bool healthy
@@ -57,6 +57,16 @@
     });
 }
 
+http_server_host_options callerHostOptions(const router_settings &settings)
+{
+    const auto bodyBytes = static_cast<std::size_t>(settings.mostBodyBytes);
+    return {.listen = settings.listen,
+            .pool = {.threads = static_cast<std::size_t>(settings.threads),
+                     .mostWaiting = static_cast<std::size_t>(settings.threads)},
+            .limits = {.mostRequestBytes = bodyBytes + mostHeaderBytes},
+            .mostBodyBytes = bodyBytes};
+}
+
 int run(const router_settings &settings)
 {
     logger log({.program = program,
@@ -70,28 +80,20 @@
     http_front front(settings, process, log, traces, metrics);
     std::atomic<bool> draining {false};
 
-    httplib::Server statusServer;
-    installStatus(statusServer, settings, process, metrics, draining);
-    httplib::Server server;
-    const auto threads = static_cast<std::size_t>(settings.threads);
-    server.new_task_queue = [threads] {
-        return new httplib::ThreadPool(threads);
-    };
-    server.set_payload_max_length(static_cast<std::size_t>(settings.mostBodyBytes));
-    server.set_keep_alive_max_count(1000);
-    server.set_tcp_nodelay(true);
-    front.install(server);
-
-    const bool bound = server.bind_to_port(settings.listen.ip, settings.listen.port)
-        && statusServer.bind_to_port(settings.statusListen.ip, settings.statusListen.port);
-    if (!bound) {
+    http_server_host statusHost(
+        {.listen = settings.statusListen, .pool = {.threads = statusThreads}});
+    installStatus(statusHost.server(), settings, process, metrics, draining);
+    http_server_host callerHost(callerHostOptions(settings));
+    front.install(callerHost.server());
+    try {
+        callerHost.start();
+        statusHost.start();
+    } catch (const std::system_error &error) {
         log.error("the listening address cannot be bound",
-                  {{"code", static_cast<std::int64_t>(result_code::AddressInUse)}});
+                  {{"code", static_cast<std::int64_t>(error.code().value())}});
         return 1;
     }
     process.start();
-    std::thread serverThread([&server] { server.listen_after_bind(); });
-    std::thread statusThread([&statusServer] { statusServer.listen_after_bind(); });
     log.info("started", {{"listen", toText(settings.listen)}});
 
     waitForTermination();
@@ -100,10 +102,8 @@
     absl::SleepFor(drainDelay);
     process.beginStop();
     process.waitUntilFinished(settings.stopTimeout);
-    server.stop();
-    serverThread.join();
-    statusServer.stop();
-    statusThread.join();
+    callerHost.stop();
+    statusHost.stop();
     process.stop();
     log.info("stopped");
     return 0;
--- a/apps/scheduler/main.cpp
+++ b/apps/scheduler/main.cpp
@@ -3,28 +3,25 @@
 #include "apps/scheduler/scheduler_settings.h"
 #include "foundation/errors/result_code.h"
 #include "telemetry/telemetry.h"
+#include "transport/http/http_server_host.h"
 
 #include <httplib.h>
 
 #include <iostream>
 #include <system_error>
-#include <thread>
 
 namespace quetzal {
 
 namespace {
 
 constexpr char program[] = "quetzal-scheduler";
-constexpr int statusThreads = 4;
+constexpr std::size_t statusThreads = 4;
 constexpr int serviceUnavailable = 503;
 /** Longest time that handing over the shards may take. */
 constexpr absl::Duration stopTimeout = absl::Seconds(15);
 
 void installStatus(httplib::Server &server, scheduler_process &process, metric_registry &metrics)
 {
-    server.new_task_queue = [] {
-        return new httplib::ThreadPool(statusThreads);
-    };
     server.Get("/healthz", [&process](const httplib::Request &, httplib::Response &response) {
         const scheduler_status status = process.status();
         const bool healthy = status.connected && !status.stopping;
@@ -52,27 +49,23 @@
                 .level = parseLogLevel(settings.logLevel).value_or(log_level::Info)});
     metric_registry metrics;
     scheduler_process process(settings);
-    httplib::Server statusServer;
-    installStatus(statusServer, process, metrics);
-    const bool bound
-        = statusServer.bind_to_port(settings.statusListen.ip, settings.statusListen.port);
+    http_server_host statusHost(
+        {.listen = settings.statusListen, .pool = {.threads = statusThreads}});
+    installStatus(statusHost.server(), process, metrics);
     try {
-        if (!bound)
-            throw std::system_error(make_error_code(result_code::AddressInUse));
+        statusHost.start();
         process.start();
     } catch (const std::system_error &error) {
         log.error("the listening address cannot be bound",
                   {{"code", static_cast<std::int64_t>(error.code().value())}});
         return 1;
     }
-    std::thread statusThread([&statusServer] { statusServer.listen_after_bind(); });
     log.info("started", {{"listen", toText(settings.listen)}});
 
     waitForTermination();
     log.info("stopping");
     process.stop(stopTimeout);
-    statusServer.stop();
-    statusThread.join();
+    statusHost.stop();
     log.info("stopped");
     return 0;
 }
