--- a/modules/routing/answer/stream_verifier.cpp
+++ b/modules/routing/answer/stream_verifier.cpp
@@ -87,7 +87,14 @@
         m_state = stream_state::Gap;
         return {};
     }
-    if (fields.number < 0 || !takeData(fields.data))
+    const bool isComment = fields.number < 0 && fields.data.empty();
+    if (isComment)
+        return {};
+    if (fields.number < 0) {
+        m_state = stream_state::Malformed;
+        return {};
+    }
+    if (!takeData(fields.data))
         return {};
     ++m_nextEvent;
     return event + std::string(eventEnd);
