--- a/tests/fleet/found_fault_test.cpp
+++ b/tests/fleet/found_fault_test.cpp
@@ -32,3 +32,43 @@
     fleet.run(absl::Minutes(1));
     CHECK(violations(fleet).empty());
 }
+
+SCENARIO("a target that restarts while nobody sees it counts as cold")
+{
+    for (const int coldSlots : {1, 2, 3}) {
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            fleet_model fleet({.slotsPerTarget = 6, .coldSlots = coldSlots, .seed = seed});
+            fleet.run(absl::Seconds(20));
+            fleet.partition({0});
+            fleet.setStoreCut(0, true);
+            fleet.killTarget(0);
+            fleet.killTarget(2);
+            fleet.run(absl::Seconds(4));
+            fleet.restartTarget(0);
+            fleet.restartTarget(2);
+            fleet.run(absl::Seconds(10));
+            INFO("seed " << seed << ", cold slots " << coldSlots);
+            for (const fake_target &target : fleet.targets())
+                CHECK(target.coldLimitExceeded() == 0);
+        }
+    }
+}
+
+SCENARIO("a successor counts the requests that its predecessor granted on a cold target")
+{
+    for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+        for (const int delay : {100, 300, 700}) {
+            fleet_model fleet({.seed = seed});
+            fleet.run(absl::Milliseconds(3000 + delay));
+            for (int vm = 0; vm < 3; ++vm) {
+                fleet.killScheduler(vm);
+                fleet.run(absl::Milliseconds(100));
+                fleet.startScheduler(vm);
+            }
+            fleet.run(absl::Seconds(12));
+            INFO("seed " << seed << ", delay " << delay);
+            for (const fake_target &target : fleet.targets())
+                CHECK(target.coldLimitExceeded() == 0);
+        }
+    }
+}
