One main body for all programs

The command line and the signals stood twice (apps/common/program beside program_options_reader and termination_signal), and three main functions were alike. tests/processes/run passes.

--- a/apps/admin/main.cpp
+++ b/apps/admin/main.cpp
@@ -1,8 +1,7 @@
 #include "apps/admin/admin_server.h"
 #include "apps/admin/admin_settings.h"
-#include "apps/common/program.h"
+#include "apps/common/program_main.h"
 
-#include <iostream>
 #include <random>
 #include <system_error>
 
@@ -19,7 +18,7 @@
     return (static_cast<std::uint64_t>(device()) << halfBits) | device();
 }
 
-int run(const admin_settings &settings)
+int run(const admin_settings &settings, const termination_signal &signal)
 {
     logger log({.program = program,
                 .vm = settings.listen.ip,
@@ -34,7 +33,7 @@
         return 1;
     }
     log.info("started", {{"listen", toText(settings.listen)}});
-    waitForTermination();
+    signal.wait();
     log.info("stopping");
     server.stop();
     log.info("stopped");
@@ -47,18 +46,7 @@
 
 int main(int argc, char **argv)
 {
-    int exitCode = 0;
-    const auto invocation = quetzal::readCommandLine(argc, argv, quetzal::program, exitCode);
-    if (!invocation)
-        return exitCode;
-    const quetzal::admin_settings_reading reading
-        = quetzal::readAdminSettings(invocation->settingsText);
-    if (!reading.faults.empty()) {
-        std::cerr << quetzal::toText(reading.faults);
-        return quetzal::usageExitCode;
-    }
-    if (invocation->checkOnly)
-        return 0;
-    quetzal::blockTerminationSignals();
-    return quetzal::run(reading.settings);
+    const quetzal::program_description description {
+        .name = quetzal::program, .summary = "Serves the administration API.", .version = QUETZAL_VERSION};
+    return quetzal::programMain(argc, argv, description, &quetzal::readAdminSettings, &quetzal::run);
 }
--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -1,4 +1,4 @@
-#include "apps/common/program.h"
+#include "apps/common/program_main.h"
 #include "apps/router/http_front.h"
 #include "apps/router/router_process.h"
 #include "apps/router/router_settings.h"
@@ -7,7 +7,6 @@
 
 #include <nlohmann/json.hpp>
 
-#include <iostream>
 #include <system_error>
 
 namespace quetzal {
@@ -67,7 +66,7 @@
             .mostBodyBytes = bodyBytes};
 }
 
-int run(const router_settings &settings)
+int run(const router_settings &settings, const termination_signal &signal)
 {
     logger log({.program = program,
                 .vm = settings.vm,
@@ -96,7 +95,7 @@
     process.start();
     log.info("started", {{"listen", toText(settings.listen)}});
 
-    waitForTermination();
+    signal.wait();
     log.info("stopping");
     draining = true;
     absl::SleepFor(drainDelay);
@@ -115,18 +114,7 @@
 
 int main(int argc, char **argv)
 {
-    int exitCode = 0;
-    const auto invocation = quetzal::readCommandLine(argc, argv, quetzal::program, exitCode);
-    if (!invocation)
-        return exitCode;
-    const quetzal::router_settings_reading reading
-        = quetzal::readRouterSettings(invocation->settingsText);
-    if (!reading.faults.empty()) {
-        std::cerr << quetzal::toText(reading.faults);
-        return quetzal::usageExitCode;
-    }
-    if (invocation->checkOnly)
-        return 0;
-    quetzal::blockTerminationSignals();
-    return quetzal::run(reading.settings);
+    const quetzal::program_description description {
+        .name = quetzal::program, .summary = "Takes callers' requests and sends them to targets.", .version = QUETZAL_VERSION};
+    return quetzal::programMain(argc, argv, description, &quetzal::readRouterSettings, &quetzal::run);
 }
--- a/apps/scheduler/main.cpp
+++ b/apps/scheduler/main.cpp
@@ -1,4 +1,4 @@
-#include "apps/common/program.h"
+#include "apps/common/program_main.h"
 #include "apps/scheduler/scheduler_process.h"
 #include "apps/scheduler/scheduler_settings.h"
 #include "foundation/errors/result_code.h"
@@ -7,7 +7,6 @@
 
 #include <httplib.h>
 
-#include <iostream>
 #include <system_error>
 
 namespace quetzal {
@@ -42,7 +41,7 @@
     });
 }
 
-int run(const scheduler_settings &settings)
+int run(const scheduler_settings &settings, const termination_signal &signal)
 {
     logger log({.program = program,
                 .vm = settings.vm,
@@ -62,7 +61,7 @@
     }
     log.info("started", {{"listen", toText(settings.listen)}});
 
-    waitForTermination();
+    signal.wait();
     log.info("stopping");
     process.stop(stopTimeout);
     statusHost.stop();
@@ -76,18 +75,7 @@
 
 int main(int argc, char **argv)
 {
-    int exitCode = 0;
-    const auto invocation = quetzal::readCommandLine(argc, argv, quetzal::program, exitCode);
-    if (!invocation)
-        return exitCode;
-    const quetzal::scheduler_settings_reading reading
-        = quetzal::readSchedulerSettings(invocation->settingsText);
-    if (!reading.faults.empty()) {
-        std::cerr << quetzal::toText(reading.faults);
-        return quetzal::usageExitCode;
-    }
-    if (invocation->checkOnly)
-        return 0;
-    quetzal::blockTerminationSignals();
-    return quetzal::run(reading.settings);
+    const quetzal::program_description description {
+        .name = quetzal::program, .summary = "Owns shards of targets and grants their capacity.", .version = QUETZAL_VERSION};
+    return quetzal::programMain(argc, argv, description, &quetzal::readSchedulerSettings, &quetzal::run);
 }
