--- a/apps/admin/main.cpp
+++ b/apps/admin/main.cpp
@@ -46,7 +46,9 @@
 
 int main(int argc, char **argv)
 {
-    const quetzal::program_description description {
-        .name = quetzal::program, .summary = "Serves the administration API.", .version = QUETZAL_VERSION};
-    return quetzal::programMain(argc, argv, description, &quetzal::readAdminSettings, &quetzal::run);
+    const quetzal::program_description description {.name = quetzal::program,
+                                                    .summary = "Serves the administration API.",
+                                                    .version = QUETZAL_VERSION};
+    return quetzal::programMain(argc, argv, description, &quetzal::readAdminSettings,
+                                &quetzal::run);
 }
--- a/apps/router/main.cpp
+++ b/apps/router/main.cpp
@@ -115,6 +115,9 @@
 int main(int argc, char **argv)
 {
     const quetzal::program_description description {
-        .name = quetzal::program, .summary = "Takes callers' requests and sends them to targets.", .version = QUETZAL_VERSION};
-    return quetzal::programMain(argc, argv, description, &quetzal::readRouterSettings, &quetzal::run);
+        .name = quetzal::program,
+        .summary = "Takes callers' requests and sends them to targets.",
+        .version = QUETZAL_VERSION};
+    return quetzal::programMain(argc, argv, description, &quetzal::readRouterSettings,
+                                &quetzal::run);
 }
--- a/apps/scheduler/main.cpp
+++ b/apps/scheduler/main.cpp
@@ -76,6 +76,9 @@
 int main(int argc, char **argv)
 {
     const quetzal::program_description description {
-        .name = quetzal::program, .summary = "Owns shards of targets and grants their capacity.", .version = QUETZAL_VERSION};
-    return quetzal::programMain(argc, argv, description, &quetzal::readSchedulerSettings, &quetzal::run);
+        .name = quetzal::program,
+        .summary = "Owns shards of targets and grants their capacity.",
+        .version = QUETZAL_VERSION};
+    return quetzal::programMain(argc, argv, description, &quetzal::readSchedulerSettings,
+                                &quetzal::run);
 }
--- a/modules/scheduling/shard/shard_scheduler.cpp
+++ b/modules/scheduling/shard/shard_scheduler.cpp
@@ -13,31 +13,6 @@
 /** Weight of the newest charge in the mean charge of a workspace. */
 constexpr double meanChargeWeight = 0.1;
 
-target_evidence evidenceOf(const protocol::ticket_outcome &outcome)
-{
-    switch (outcome.signal) {
-    case protocol::target_signal::Leaving:
-        return target_evidence::Leaving;
-    case protocol::target_signal::ConnectionRefused:
-        return target_evidence::Refused;
-    case protocol::target_signal::ConnectionReset:
-        return target_evidence::Reset;
-    case protocol::target_signal::Overloaded:
-        return target_evidence::Overloaded;
-    case protocol::target_signal::Silent:
-        return target_evidence::Silent;
-    case protocol::target_signal::None:
-        return target_evidence::Answered;
-    }
-    return target_evidence::Answered;
-}
-
-bool carriesEvidence(const protocol::ticket_outcome &outcome)
-{
-    return outcome.ending == protocol::ticket_end::AnsweredWhole
-        || outcome.signal != protocol::target_signal::None || !outcome.targetInstance.empty();
-}
-
 cost_features featuresOf(const std::string &workspace, const std::string &kind, double hint)
 {
     return {.workspace = workspace, .requestKind = kind, .hint = hint};
@@ -75,28 +50,12 @@
             m_allowedDataCentres[workspace.name].insert(workspace.dataCentres.begin(),
                                                         workspace.dataCentres.end());
     }
-    for (auto &[name, target] : m_targets)
-        target.admission.setLimits(m_options.service.coldSlotsPerTarget,
-                                   m_options.service.slotsPerTarget);
+    m_targets.setLimits(m_options.service.coldSlotsPerTarget, m_options.service.slotsPerTarget);
 }
 
 void shard_scheduler::setTargets(const std::vector<target_listing> &listings, absl::Time now)
 {
-    std::set<std::string> listed;
-    for (const target_listing &listing : listings) {
-        listed.insert(listing.target);
-        const auto [found, added] = m_targets.try_emplace(
-            listing.target, target_state {target_admission(listing, admissionOptions(), now)});
-        if (!added)
-            found->second.admission.observeListing(listing, now);
-    }
-    for (auto &[name, target] : m_targets) {
-        if (!listed.contains(name))
-            target.admission.observeUnlisted(now);
-    }
-    std::erase_if(m_targets, [&listed](const auto &item) {
-        return !listed.contains(item.first) && item.second.inUse == 0;
-    });
+    m_targets.setListings(listings, now);
 }
 
 void shard_scheduler::setServiceShards(std::vector<std::string> shards)
@@ -116,13 +75,7 @@
 
 void shard_scheduler::onLoad(const std::string &target, const target_load &load, absl::Time now)
 {
-    const auto found = m_targets.find(target);
-    if (found == m_targets.end())
-        return;
-    if (isSilent(found->second, now))
-        found->second.admission.observeEvidence(target_evidence::Reset, "", now);
-    found->second.lastSign = now;
-    found->second.admission.observeLoad(load, now);
+    m_targets.observeLoad(target, load, now);
 }
 
 void shard_scheduler::onReport(const protocol::router_report &report, absl::Time now)
@@ -176,9 +129,10 @@
     bool granted = true;
     while (granted) {
         granted = false;
-        for (const std::string &target : freeTargets(certainty, now)) {
-            const std::string &dataCentre = m_targets.at(target).admission.listing().dataCentre;
-            const std::optional<std::string> workspace = nextWorkspace(dataCentre, now);
+        for (const target_listing &target : m_targets.free(certainty, isComplete(now), now)) {
+            if (!m_dataCentresIn.contains(target.dataCentre))
+                continue;
+            const std::optional<std::string> workspace = nextWorkspace(target.dataCentre, now);
             if (!workspace)
                 continue;
             grants.push_back(issue(*workspace, target, now));
@@ -236,17 +190,6 @@
     m_ledger.onHomesMoved();
 }
 
-std::vector<target_status> shard_scheduler::targetStatus(absl::Time now) const
-{
-    std::vector<target_status> result;
-    for (const auto &[name, target] : m_targets)
-        result.push_back({.target = name,
-                          .phase = target.admission.phase(now),
-                          .limit = target.admission.limit(now),
-                          .inUse = target.inUse});
-    return result;
-}
-
 std::vector<workspace_status> shard_scheduler::workspaceStatus() const
 {
     std::vector<workspace_status> result;
@@ -259,12 +202,6 @@
     return result;
 }
 
-target_admission_options shard_scheduler::admissionOptions() const
-{
-    return {.warmLimit = m_options.service.slotsPerTarget,
-            .coldLimit = m_options.service.coldSlotsPerTarget};
-}
-
 void shard_scheduler::takeUsage(const protocol::router_report &report,
                                 const protocol::shard_usage &usage, absl::Time now)
 {
@@ -297,7 +234,7 @@
                   .target = running.target,
                   .requestKind = running.requestKind,
                   .hint = running.hint};
-        occupy(running.target, 1);
+        m_targets.occupy(running.target, 1);
         const bool chargedByFormerOwner = running.epoch < m_options.epoch;
         if (chargedByFormerOwner)
             ticket.charged = expected;
@@ -314,15 +251,7 @@
     const auto found = m_tickets.find({outcome.epoch, outcome.ticket});
     if (found == m_tickets.end())
         return;
-    const auto target = m_targets.find(outcome.target);
-    if (target != m_targets.end() && carriesEvidence(outcome))
-        target->second.admission.observe({.evidence = evidenceOf(outcome),
-                                          .instance = outcome.targetInstance,
-                                          .startedAt = found->second.grantedAt,
-                                          .running = target->second.inUse},
-                                         now);
-    if (target != m_targets.end() && outcome.ending == protocol::ticket_end::AnsweredWhole)
-        target->second.lastSign = now;
+    m_targets.observeOutcome(outcome, found->second.grantedAt, now);
     if (outcome.ending == protocol::ticket_end::AnsweredWhole)
         m_estimator.learn(featuresOf(outcome.workspace, outcome.requestKind, outcome.hint),
                           outcome.units);
@@ -354,9 +283,7 @@
         const auto current = item++;
         if (current->second.router != router)
             continue;
-        const auto target = m_targets.find(current->second.target);
-        if (target != m_targets.end())
-            target->second.doubtUntil = now + m_options.doubtDuration;
+        m_targets.doubt(current->second.target, now);
         settle(current, current->second.running ? current->second.charged : 0.0);
     }
 }
@@ -384,18 +311,11 @@
     }
 }
 
-void shard_scheduler::occupy(const std::string &target, int count)
-{
-    const auto found = m_targets.find(target);
-    if (found != m_targets.end())
-        found->second.inUse += count;
-}
-
 void shard_scheduler::settle(ticket_map::iterator ticket, double finalCharge)
 {
     const ticket_state &state = ticket->second;
     chargeWorkspace(state.workspace, finalCharge - state.charged);
-    occupy(state.target, -1);
+    m_targets.occupy(state.target, -1);
     m_tickets.erase(ticket);
 }
 
@@ -455,43 +375,6 @@
                        });
 }
 
-bool shard_scheduler::isSilent(const target_state &target, absl::Time now) const
-{
-    return now - target.lastSign > m_options.targetSilence;
-}
-
-int shard_scheduler::freeSlots(const target_state &target, ownership_certainty certainty,
-                               absl::Time now) const
-{
-    int limit = target.admission.limit(now);
-    if (isSilent(target, now))
-        limit = std::min(limit, m_options.service.coldSlotsPerTarget);
-    if (target.admission.isCold(now))
-        limit = coldShare(certainty, limit);
-    const bool doubtful = now < target.doubtUntil || !isComplete(now);
-    if (!doubtful)
-        return limit - target.inUse;
-    const int reported = target.admission.reportedRunning(now);
-    const int assumed = reported < 0 ? limit : reported;
-    return limit - std::max(target.inUse, assumed);
-}
-
-std::vector<std::string> shard_scheduler::freeTargets(ownership_certainty certainty,
-                                                      absl::Time now) const
-{
-    std::vector<std::pair<int, std::string>> free;
-    for (const auto &[name, target] : m_targets) {
-        const int slots = freeSlots(target, certainty, now);
-        if (slots > 0 && m_dataCentresIn.contains(target.admission.listing().dataCentre))
-            free.emplace_back(-slots, name);
-    }
-    std::sort(free.begin(), free.end());
-    std::vector<std::string> names;
-    for (auto &[slots, name] : free)
-        names.push_back(std::move(name));
-    return names;
-}
-
 std::optional<std::string> shard_scheduler::nextWorkspace(const std::string &dataCentre,
                                                           absl::Time now) const
 {
@@ -506,7 +389,7 @@
     });
 }
 
-addressed_grant shard_scheduler::issue(const std::string &workspace, const std::string &target,
+addressed_grant shard_scheduler::issue(const std::string &workspace, const target_listing &target,
                                        absl::Time now)
 {
     const std::optional<std::string> router = m_demand.routerToServe(workspace);
@@ -517,12 +400,12 @@
     const std::int64_t ticket = ++m_lastTicket;
     m_tickets[{m_options.epoch, ticket}] = {.router = *router,
                                             .workspace = workspace,
-                                            .target = target,
+                                            .target = target.target,
                                             .requestKind = demand.headKind,
                                             .hint = demand.headHint,
                                             .charged = charged,
                                             .grantedAt = now};
-    occupy(target, 1);
+    m_targets.occupy(target.target, 1);
     chargeWorkspace(workspace, charged);
     double &mean = m_meanCharges.try_emplace(workspace, charged).first->second;
     mean += (charged - mean) * meanChargeWeight;
@@ -533,9 +416,9 @@
     result.content.shard = m_options.shard;
     result.content.epoch = m_options.epoch;
     result.content.ticket = ticket;
-    result.content.target = target;
-    result.content.address = m_targets.at(target).admission.listing().address;
-    result.content.dataCentre = m_targets.at(target).admission.listing().dataCentre;
+    result.content.target = target.target;
+    result.content.address = target.address;
+    result.content.dataCentre = target.dataCentre;
     result.content.serviceName = m_options.service.name;
     result.content.workspace = workspace;
     result.content.reportSequence = m_routers[*router].sequence;
--- a/modules/scheduling/shard/shard_scheduler.h
+++ b/modules/scheduling/shard/shard_scheduler.h
@@ -5,7 +5,7 @@
 #include "ownership/shards/shard_ownership.h"
 #include "protocol/messages/message.h"
 #include "scheduling/shard/demand_table.h"
-#include "targets/admission/target_admission.h"
+#include "scheduling/shard/target_slots.h"
 
 #include <absl/time/time.h>
 
@@ -41,10 +41,6 @@
     absl::Duration revocationDelay = absl::Milliseconds(400);
     /** Longest time after a takeover that a workspace waits for its total from the ledger. */
     absl::Duration ledgerWait = absl::Milliseconds(800);
-    /** A target that gave no sign for this long may have restarted: it counts as cold. */
-    absl::Duration targetSilence = absl::Milliseconds(1500);
-    /** How long a target's own count is trusted over the tickets after a doubtful release. */
-    absl::Duration doubtDuration = absl::Seconds(10);
 };
 
 /** A grant and the router's VM that gets it. */
@@ -65,17 +61,6 @@
     bool operator==(const addressed_revocation &) const = default;
 };
 
-/** State of one target for the status page. */
-struct target_status
-{
-    std::string target;
-    target_phase phase = target_phase::Unknown;
-    int limit = 0;
-    int inUse = 0;
-
-    bool operator==(const target_status &) const = default;
-};
-
 /** State of one workspace at a shard for the status page. */
 struct workspace_status
 {
@@ -135,7 +120,7 @@
     /** True when a router knows a higher epoch: this scheduler no longer owns the shard. */
     bool isSuperseded() const { return m_superseded; }
     const shard_scheduler_options &options() const { return m_options; }
-    std::vector<target_status> targetStatus(absl::Time now) const;
+    std::vector<target_status> targetStatus(absl::Time now) const { return m_targets.status(now); }
     std::vector<workspace_status> workspaceStatus() const;
 
 private:
@@ -161,18 +146,9 @@
         /** True when the router has reported its usage of this shard in this epoch. */
         bool complete = false;
     };
-    struct target_state
-    {
-        target_admission admission;
-        int inUse = 0;
-        absl::Time doubtUntil = absl::InfinitePast();
-        /** Last load report or answer; infinite before the first report. */
-        absl::Time lastSign = absl::InfiniteFuture();
-    };
     using ticket_key = std::pair<std::int64_t, std::int64_t>;
     using ticket_map = std::map<ticket_key, ticket_state>;
 
-    target_admission_options admissionOptions() const;
     void takeUsage(const protocol::router_report &report, const protocol::shard_usage &usage,
                    absl::Time now);
     void takeRunning(const std::string &router, const protocol::running_ticket &running);
@@ -182,7 +158,6 @@
     void releaseAll(const std::string &router, absl::Time now);
     void updateBacklog(const std::set<std::string> &workspaces);
     void recountPending(const std::string &router);
-    void occupy(const std::string &target, int count);
     void settle(ticket_map::iterator ticket, double finalCharge);
     void updateTurn(const std::string &workspace);
     void chargeWorkspace(const std::string &workspace, double amount);
@@ -190,18 +165,16 @@
     double finalCharge(const protocol::ticket_outcome &outcome) const;
     double weightOf(const std::string &requestKind) const;
     bool isComplete(absl::Time now) const;
-    bool isSilent(const target_state &target, absl::Time now) const;
-    int freeSlots(const target_state &target, ownership_certainty certainty, absl::Time now) const;
-    std::vector<std::string> freeTargets(ownership_certainty certainty, absl::Time now) const;
     std::optional<std::string> nextWorkspace(const std::string &dataCentre, absl::Time now) const;
-    addressed_grant issue(const std::string &workspace, const std::string &target, absl::Time now);
+    addressed_grant issue(const std::string &workspace, const target_listing &target,
+                          absl::Time now);
 
     shard_scheduler_options m_options;
     fair_order m_order;
     cost_estimator m_estimator;
     ledger_writer m_ledger;
     demand_table m_demand;
-    std::map<std::string, target_state> m_targets;
+    target_slots m_targets {{}};
     std::map<std::string, router_state> m_routers;
     std::set<std::string> m_expectedRouters;
     std::map<std::string, double> m_shares;
