--- a/modules/scheduling/node/scheduler_node.cpp
+++ b/modules/scheduling/node/scheduler_node.cpp
@@ -2,6 +2,7 @@
 
 #include "foundation/hashing/stable_hash.h"
 #include "scheduling/node/ledger_messages.h"
+#include "scheduling/shard/shard_layout.h"
 
 #include <algorithm>
 #include <set>
@@ -18,17 +19,6 @@
 /** A renewal that a peer has not answered after this long is forgotten. */
 constexpr absl::Duration relayTimeout = absl::Seconds(5);
 
-/** The data centre of all targets; empty when they are in several. */
-std::string dataCentreOf(const std::vector<target_listing> &targets)
-{
-    const std::string &first = targets.front().dataCentre;
-    const bool same
-        = std::all_of(targets.begin(), targets.end(), [&first](const target_listing &target) {
-              return target.dataCentre == first;
-          });
-    return same ? first : std::string();
-}
-
 } // namespace
 
 scheduler_node::scheduler_node(scheduler_node_options options)
@@ -39,6 +29,7 @@
                    .incarnation = m_options.incarnation,
                    .keyPrefix = m_options.keyPrefix})
     , m_ledgerHome(m_options.incarnation)
+    , m_homes(m_options.vm, m_options.homeTimeout)
 {
 }
 
@@ -133,8 +124,11 @@
 std::vector<target_listing> scheduler_node::polledTargets() const
 {
     std::vector<target_listing> polled;
+    const auto current = m_follower.current();
+    if (!current)
+        return polled;
     for (const target_listing &target : m_targets) {
-        if (m_shards.contains(shardOf(target)))
+        if (m_shards.contains(shardOf(target, current->document)))
             polled.push_back(target);
     }
     return polled;
@@ -197,7 +191,7 @@
             {.shard = claim.shard,
              .owner = {.vm = claim.vm, .incarnation = claim.incarnation, .epoch = claim.epoch}});
     m_ownership.onPeerHeartbeat(peer, now);
-    m_peersHeard[heartbeat.vm] = now;
+    m_homes.onHeard(heartbeat.vm, now);
     for (auto &[name, shard] : m_shards)
         shard.onHomeIncarnation(heartbeat.vm, heartbeat.incarnation);
     m_peerRevisions[heartbeat.vm] = heartbeat.configurationRevision;
@@ -319,16 +313,10 @@
     const auto current = m_follower.current();
     if (!current)
         return;
-    std::map<std::string, std::vector<target_listing>> byShard;
-    for (const target_listing &target : m_targets) {
-        if (current->document.findService(target.service) != nullptr)
-            byShard[shardOf(target)].push_back(target);
-    }
+    auto byShard = groupByShard(m_targets, current->document);
     m_definitions.clear();
     for (const auto &[shard, targets] : byShard)
-        m_definitions.push_back({.shard = shard,
-                                 .service = targets.front().service,
-                                 .dataCentre = dataCentreOf(targets)});
+        m_definitions.push_back(defineShard(shard, targets));
     m_ownership.setShards(m_definitions);
 
     std::set<std::string> routers;
@@ -429,7 +417,7 @@
 {
     updateHomes(now);
     const auto home = [this](const std::string &workspace) {
-        return homeOf(workspace);
+        return m_homes.homeOf(workspace);
     };
     for (auto &[name, shard] : m_shards) {
         const bool answered = shard.options().service.unit == service_unit::AnsweredRequests;
@@ -484,55 +472,12 @@
     return owners;
 }
 
-std::string scheduler_node::shardOf(const target_listing &target) const
-{
-    const auto current = m_follower.current();
-    const service_definition *service
-        = current ? current->document.findService(target.service) : nullptr;
-    if (service != nullptr && service->unit == service_unit::AnsweredRequests)
-        return target.service + "/all";
-    const int shards = service == nullptr ? 1 : service->shardsPerDataCentre;
-    int chosen = 0;
-    std::uint64_t heaviest = 0;
-    for (int index = 0; index < shards; ++index) {
-        const std::uint64_t weight = rendezvousWeight(target.target, std::to_string(index));
-        if (weight < heaviest)
-            continue;
-        heaviest = weight;
-        chosen = index;
-    }
-    return target.service + "/" + target.dataCentre + "/" + std::to_string(chosen);
-}
-
-std::string scheduler_node::homeOf(const std::string &workspace)
-{
-    const auto [found, added] = m_homes.try_emplace(workspace);
-    if (!added)
-        return found->second;
-    found->second = *std::max_element(
-        m_homeCandidates.begin(), m_homeCandidates.end(),
-        [&workspace](const std::string &left, const std::string &right) {
-            return rendezvousWeight(workspace, left) < rendezvousWeight(workspace, right);
-        });
-    return found->second;
-}
-
 void scheduler_node::updateHomes(absl::Time now)
 {
-    std::vector<std::string> candidates {m_options.vm};
-    for (const scheduler_member &member : m_members) {
-        const auto heard = m_peersHeard.find(member.vm);
-        const bool live
-            = heard != m_peersHeard.end() && now - heard->second <= m_options.homeTimeout;
-        if (live && member.vm != m_options.vm)
-            candidates.push_back(member.vm);
-    }
-    if (candidates == m_homeCandidates)
+    if (!m_homes.update(m_members, now))
         return;
-    m_homeCandidates = std::move(candidates);
-    m_homes.clear();
     m_ledgerHome.retain(
-        [this](const std::string &workspace) { return homeOf(workspace) == m_options.vm; });
+        [this](const std::string &workspace) { return m_homes.homeOf(workspace) == m_options.vm; });
     for (auto &[name, shard] : m_shards)
         shard.onHomesMoved();
 }
--- a/modules/scheduling/node/scheduler_node.h
+++ b/modules/scheduling/node/scheduler_node.h
@@ -4,6 +4,7 @@
 #include "fairness/ledger/ledger_home.h"
 #include "ownership/shards/shard_ownership.h"
 #include "protocol/messages/outgoing_message.h"
+#include "scheduling/node/ledger_homes.h"
 #include "scheduling/node/scheduler_status.h"
 #include "scheduling/shard/shard_scheduler.h"
 
@@ -115,8 +116,6 @@
     void exchangeLedger(absl::Time now);
     void askForRenewal(absl::Time now);
     std::vector<protocol::shard_owner> knownOwners() const;
-    std::string shardOf(const target_listing &target) const;
-    std::string homeOf(const std::string &workspace);
     void updateHomes(absl::Time now);
     void send(node_role role, const std::string &vm, message content);
 
@@ -124,6 +123,7 @@
     configuration_follower m_follower;
     shard_ownership m_ownership;
     ledger_home m_ledgerHome;
+    ledger_homes m_homes;
     std::vector<scheduler_member> m_members;
     std::vector<target_listing> m_targets;
     std::vector<shard_definition> m_definitions;
@@ -138,10 +138,6 @@
     std::size_t m_relayPeer = 0;
     absl::Time m_lastHeartbeat = absl::InfinitePast();
     std::map<std::string, absl::Time> m_lastLedger;
-    std::map<std::string, absl::Time> m_peersHeard;
-    /** The live schedulers, among which the homes are chosen. */
-    std::vector<std::string> m_homeCandidates;
-    std::map<std::string, std::string> m_homes;
     absl::Time m_lastRelay = absl::InfinitePast();
     std::size_t m_ownersFingerprint = 0;
     bool m_stopping = false;
--- a/tests/fleet/fleet_model.h
+++ b/tests/fleet/fleet_model.h
@@ -21,6 +21,9 @@
 
 namespace quetzal {
 
+/** Store key prefix of the environment under test. */
+inline constexpr char fleetKeyPrefix[] = "/quetzal/test";
+
 /** Size and behaviour of a fleet_model. */
 struct fleet_options
 {
