--- a/standins/engine/main.cpp
+++ b/standins/engine/main.cpp
@@ -1,26 +1,15 @@
-#include "standins/common/standin_program.h"
+#include "standins/common/standin_instances.h"
 #include "standins/engine/engine_server.h"
 
-#include <memory>
-#include <vector>
-
 namespace {
 
 using namespace quetzal;
 using namespace quetzal::standins;
 
-struct engine_instance
-{
-    engine_options options;
-    std::string ip {};
-    int port = 0;
-};
-
 constexpr int mostSlots = 4096;
 constexpr double mostSeconds = 3600.0;
 constexpr double mostMs = 60000.0;
 constexpr double mostTokensPerSecond = 1e6;
-constexpr int mostPort = 65535;
 
 /** Reads the members that "defaults" and each instance share. */
 engine_options readOptions(json_reader &reader, engine_options options)
@@ -46,43 +35,9 @@
     return options;
 }
 
-std::vector<engine_instance> readInstances(json_reader &reader)
-{
-    json_reader shared = reader.object("defaults");
-    const engine_options defaults = readOptions(shared, {});
-    shared.finish();
-    std::vector<engine_instance> instances;
-    for (json_reader &item : reader.objects("instances")) {
-        engine_instance instance {.options = readOptions(item, defaults)};
-        instance.options.id = item.requiredString("id");
-        instance.ip = item.requiredString("ip");
-        instance.port = static_cast<int>(item.requiredInteger("port", 1, mostPort));
-        item.finish();
-        instances.push_back(instance);
-    }
-    return instances;
-}
-
 } // namespace
 
 int main(int argc, char **argv)
 {
-    std::vector<engine_instance> instances;
-    std::vector<std::unique_ptr<engine_server>> servers;
-    return runStandin(argc, argv,
-                      {.name = "standin-engine",
-                       .read = [&](json_reader &reader) { instances = readInstances(reader); },
-                       .start =
-                           [&] {
-                               for (const engine_instance &instance : instances) {
-                                   servers.push_back(
-                                       std::make_unique<engine_server>(instance.options));
-                                   servers.back()->start(instance.ip, instance.port);
-                               }
-                           },
-                       .finish =
-                           [&] {
-                               for (const auto &server : servers)
-                                   server->finish();
-                           }});
+    return runInstances<engine_server, engine_options>(argc, argv, "standin-engine", readOptions);
 }
