--- a/tests/fleet/fleet_model.h
+++ b/tests/fleet/fleet_model.h
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "bench/load/gap_meter.h"
 #include "fleet/fake_target.h"
-#include "fleet/gap_meter.h"
 #include "foundation/random/random_source.h"
 #include "ownership/fake_store.h"
 #include "routing/node/router_node.h"
@@ -21,6 +21,10 @@
 
 namespace quetzal {
 
+/** How far the simulated time goes in one step. */
+inline constexpr absl::Duration fleetStepLength = absl::Milliseconds(10);
+/** Units that a request produces each second. */
+inline constexpr double fleetUnitsPerSecond = 100.0;
 /** Store key prefix of the environment under test. */
 inline constexpr char fleetKeyPrefix[] = "/quetzal/test";
 
@@ -126,7 +130,7 @@
     /** The widest gap of streamed (or, for answered requests, dispatched) service since the last
      * reset, in largest weighted requests. */
     double gap() const;
-    void resetGap() { m_gap.reset(); }
+    void resetGap() { m_gap = {}; }
     /** Attempts at targets of a data centre since a time. */
     int attemptsSince(int dataCentre, absl::Time since) const;
     /** Revisions in force at the running routers; 0 for one that stopped itself. */
