Router: the shared configuration follower and the index of key digests

Dead state (peer revisions, a shard's data centre at the router) is gone, and the owner asks once a round, not once a grant, whether its tickets are complete. scripts/test passes.

--- a/apps/router/caller_request.cpp
+++ b/apps/router/caller_request.cpp
@@ -19,18 +19,12 @@
 constexpr std::size_t mostIdLength = 128;
 constexpr std::int64_t mostDeadlineMilliseconds = 3600 * 1000;
 
-const workspace_definition *findWorkspace(const configuration_document &document,
+const workspace_definition *findWorkspace(const configuration_snapshot &configuration,
                                           const std::string &authorization)
 {
     if (!authorization.starts_with(bearer))
         return nullptr;
-    const std::string digest = sha256Hex(authorization.substr(bearer.size()));
-    for (const workspace_definition &workspace : document.workspaces) {
-        const auto &digests = workspace.keyDigests;
-        if (std::find(digests.begin(), digests.end(), digest) != digests.end())
-            return &workspace;
-    }
-    return nullptr;
+    return configuration.findWorkspaceByKeyDigest(sha256Hex(authorization.substr(bearer.size())));
 }
 
 bool isValidId(const std::string &text)
@@ -46,9 +40,10 @@
 class request_reader
 {
 public:
-    request_reader(const http_request_parts &parts, const configuration_document &document)
+    request_reader(const http_request_parts &parts, const configuration_snapshot &configuration)
         : m_parts(parts)
-        , m_document(document)
+        , m_configuration(configuration)
+        , m_document(configuration.document)
     {
     }
 
@@ -77,7 +72,7 @@
 
     void readWorkspace()
     {
-        m_workspace = findWorkspace(m_document, m_parts.header("Authorization"));
+        m_workspace = findWorkspace(m_configuration, m_parts.header("Authorization"));
         if (m_workspace == nullptr)
             return fail(result_code::KeyUnknown, "no workspace has this key");
         m_request.description.workspace = m_workspace->name;
@@ -218,6 +213,7 @@
     }
 
     const http_request_parts &m_parts;
+    const configuration_snapshot &m_configuration;
     const configuration_document &m_document;
     const workspace_definition *m_workspace = nullptr;
     const service_definition *m_service = nullptr;
@@ -228,10 +224,10 @@
 } // namespace
 
 std::variant<caller_request, caller_fault>
-readCallerRequest(const http_request_parts &parts, const configuration_document &document,
+readCallerRequest(const http_request_parts &parts, const configuration_snapshot &configuration,
                   const std::string &generatedId, absl::Duration defaultDeadline, absl::Time now)
 {
-    return request_reader(parts, document).read(generatedId, defaultDeadline, now);
+    return request_reader(parts, configuration).read(generatedId, defaultDeadline, now);
 }
 
 } // namespace quetzal
--- a/apps/router/caller_request.h
+++ b/apps/router/caller_request.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration/document/configuration_document.h"
+#include "configuration/revision/configuration_snapshot.h"
 #include "foundation/errors/result_code.h"
 #include "routing/request/request_types.h"
 
@@ -49,7 +49,7 @@
  * generatedId is used when the caller gives no id; defaultDeadline when it gives no deadline.
  */
 std::variant<caller_request, caller_fault>
-readCallerRequest(const http_request_parts &parts, const configuration_document &document,
+readCallerRequest(const http_request_parts &parts, const configuration_snapshot &configuration,
                   const std::string &generatedId, absl::Duration defaultDeadline, absl::Time now);
 
 } // namespace quetzal
--- a/apps/router/http_front.cpp
+++ b/apps/router/http_front.cpp
@@ -77,9 +77,9 @@
 {
     const auto parent = parseTraceparent(request.get_header_value("traceparent"));
     span serverSpan = m_traces.begin("caller to router", span_kind::Server, parent, absl::Now());
-    const auto document = m_process.configuration();
+    const auto configuration = m_process.configuration();
     const std::string generatedId = m_settings.vm + "-" + std::to_string(++m_generatedIds);
-    if (!document)
+    if (!configuration)
         return refuse(response, generatedId, refusalOf(result_code::ConfigurationMissing));
 
     const http_request_parts parts {.method = request.method,
@@ -88,7 +88,7 @@
                                     .header = [&request](const std::string &name) {
                                         return request.get_header_value(name);
                                     }};
-    auto read = readCallerRequest(parts, *document, generatedId, m_settings.defaultDeadline,
+    auto read = readCallerRequest(parts, *configuration, generatedId, m_settings.defaultDeadline,
                                   monotonicNow());
     if (const auto *fault = std::get_if<caller_fault>(&read))
         return refuse(response, generatedId, refusalOf(fault->code), fault->detail);
--- a/apps/router/router_process.cpp
+++ b/apps/router/router_process.cpp
@@ -121,7 +121,7 @@
     handle([request](router_node &node, absl::Time now) { node.onCallerGone(request, now); });
 }
 
-std::shared_ptr<const configuration_document> router_process::configuration()
+std::shared_ptr<const configuration_snapshot> router_process::configuration()
 {
     const absl::MutexLock lock(&m_mutex);
     return m_node.configuration();
--- a/apps/router/router_process.h
+++ b/apps/router/router_process.h
@@ -41,7 +41,7 @@
     void onAttemptEnded(request_id request, const attempt_result &result);
     void onCallerGone(request_id request);
 
-    std::shared_ptr<const configuration_document> configuration();
+    std::shared_ptr<const configuration_snapshot> configuration();
     router_status status();
     network_counts counts() const { return m_network.counts(); }
     /** An identifier for the target that no other router or start of this router uses. */
--- a/modules/routing/node/router_node.cpp
+++ b/modules/routing/node/router_node.cpp
@@ -1,8 +1,6 @@
 #include "routing/node/router_node.h"
 
-#include "configuration/document/document_reader.h"
 #include "foundation/errors/precondition.h"
-#include "foundation/hashing/stable_hash.h"
 
 #include <algorithm>
 #include <type_traits>
@@ -53,7 +51,7 @@
 {
     if (m_stopping)
         return finish(request, result_code::RouterStopping, execution_state::NotRun);
-    if (!m_document)
+    if (!configuration())
         return finish(request, result_code::ConfigurationMissing, execution_state::NotRun);
     if (isIsolated(now))
         return finish(request, result_code::RouterIsolated, execution_state::NotRun);
@@ -105,7 +103,7 @@
     else if (const auto *view = std::get_if<protocol::fleet_view>(&content))
         onFleetView(*view, now);
     else if (const auto *update = std::get_if<protocol::configuration_update>(&content))
-        onConfiguration(*update);
+        m_follower.onDocument(update->revision, update->digest, update->document);
 }
 
 void router_node::beginStop(absl::Time /*now*/)
@@ -139,7 +137,7 @@
 
 router_status router_node::status(absl::Time now) const
 {
-    return {.configurationRevision = m_revision,
+    return {.configurationRevision = configurationRevision(),
             .isolated = isIsolated(now),
             .stopping = m_stopping,
             .waiting = m_waiting.size(),
@@ -186,7 +184,8 @@
         return false;
     if (now >= sent->second + absl::Milliseconds(content.lifetimeMillis))
         return false;
-    const bool inUse = m_document && m_document->isDataCentreIn(content.dataCentre);
+    const auto current = configuration();
+    const bool inUse = current && current->document.isDataCentreIn(content.dataCentre);
     return inUse && !isIsolated(now);
 }
 
@@ -210,10 +209,10 @@
         m_lastConnectedView = now;
     for (const protocol::shard_owner &owner : view.owners)
         observeOwner(owner);
-    if (view.configurationRevision <= m_revision)
+    if (view.configurationRevision <= configurationRevision())
         return;
     protocol::configuration_request request;
-    request.haveRevision = m_revision;
+    request.haveRevision = configurationRevision();
     m_actions.emplace_back(
         outgoing_message {{node_role::Scheduler, view.scheduler}, std::move(request)});
 }
@@ -224,29 +223,13 @@
     if (owner.epoch < known.epoch)
         return;
     const bool changed = owner.epoch > known.epoch;
-    known = {.service = owner.serviceName,
-             .dataCentre = owner.dataCentre,
-             .owner = owner.owner,
-             .epoch = owner.epoch};
+    known = {.service = owner.serviceName, .owner = owner.owner, .epoch = owner.epoch};
     if (!changed)
         return;
     bookOf(owner.shard).observeEpoch(owner.epoch);
     m_owners[owner.owner].completeDue = true;
 }
 
-void router_node::onConfiguration(const protocol::configuration_update &update)
-{
-    if (update.revision <= m_revision)
-        return;
-    if (sha256Hex(update.document) != update.digest)
-        return;
-    document_reading reading = readDocument(update.document);
-    if (!reading.document)
-        return;
-    m_document = std::make_shared<const configuration_document>(std::move(*reading.document));
-    m_revision = update.revision;
-}
-
 void router_node::finish(const request_description &request, result_code code,
                          execution_state execution)
 {
@@ -354,7 +337,7 @@
     report.router = m_options.vm;
     report.incarnation = m_options.incarnation;
     report.sequence = ++m_sequence;
-    report.configurationRevision = m_revision;
+    report.configurationRevision = configurationRevision();
     report.stopping = m_stopping;
     report.complete = complete;
     report.wantsView = wantsView;
@@ -456,7 +439,7 @@
 
 queue_limits router_node::limitsOf(const std::string &workspace) const
 {
-    const workspace_definition *found = m_document->findWorkspace(workspace);
+    const workspace_definition *found = configuration()->document.findWorkspace(workspace);
     if (found == nullptr)
         return {};
     return {.requests = found->limits.waitingRequests, .bytes = found->limits.bufferedBytes};
--- a/modules/routing/node/router_node.h
+++ b/modules/routing/node/router_node.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "configuration/document/configuration_document.h"
+#include "configuration/revision/configuration_follower.h"
 #include "protocol/messages/outgoing_message.h"
 #include "routing/node/shard_book.h"
 #include "routing/queue/waiting_queues.h"
@@ -94,8 +94,11 @@
     bool isFinished() const;
     router_status status(absl::Time now) const;
     /** The configuration in force; null before the first. */
-    std::shared_ptr<const configuration_document> configuration() const { return m_document; }
-    std::int64_t configurationRevision() const { return m_revision; }
+    std::shared_ptr<const configuration_snapshot> configuration() const
+    {
+        return m_follower.current();
+    }
+    std::int64_t configurationRevision() const { return m_follower.revision(); }
 
 private:
     struct running_request
@@ -117,7 +120,6 @@
     struct known_shard
     {
         std::string service;
-        std::string dataCentre;
         std::string owner;
         std::int64_t epoch = 0;
     };
@@ -125,7 +127,6 @@
     void onGrants(const node_id &from, const protocol::grant_batch &batch, absl::Time now);
     void onGrant(const protocol::grant &content, absl::Time now);
     void onFleetView(const protocol::fleet_view &view, absl::Time now);
-    void onConfiguration(const protocol::configuration_update &update);
     void observeOwner(const protocol::shard_owner &owner);
     bool isGrantUsable(const protocol::grant &content, absl::Time now) const;
     void dispatch(const protocol::grant &content, const request_description &request);
@@ -165,8 +166,7 @@
     absl::Time m_lastView = absl::InfinitePast();
     std::int64_t m_sequence = 0;
     std::deque<std::pair<std::int64_t, absl::Time>> m_sentReports;
-    std::shared_ptr<const configuration_document> m_document;
-    std::int64_t m_revision = 0;
+    configuration_follower m_follower {{}};
     bool m_stopping = false;
     std::vector<router_action> m_actions;
 };
--- a/modules/scheduling/node/scheduler_node.cpp
+++ b/modules/scheduling/node/scheduler_node.cpp
@@ -194,7 +194,6 @@
     m_homes.onHeard(heartbeat.vm, now);
     for (auto &[name, shard] : m_shards)
         shard.onHomeIncarnation(heartbeat.vm, heartbeat.incarnation);
-    m_peerRevisions[heartbeat.vm] = heartbeat.configurationRevision;
     if (heartbeat.configurationRevision <= m_follower.revision())
         return;
     protocol::configuration_request ask;
--- a/modules/scheduling/node/scheduler_node.h
+++ b/modules/scheduling/node/scheduler_node.h
@@ -132,7 +132,6 @@
     std::map<std::string, router_state> m_routers;
     std::map<std::uint64_t, relayed_renewal> m_relayed;
     std::map<std::int64_t, asked_renewal> m_askedRenewals;
-    std::map<std::string, std::int64_t> m_peerRevisions;
     std::int64_t m_heartbeatSequence = 0;
     std::uint64_t m_relaySequence = 0;
     std::size_t m_relayPeer = 0;
--- a/modules/scheduling/shard/shard_scheduler.cpp
+++ b/modules/scheduling/shard/shard_scheduler.cpp
@@ -126,10 +126,11 @@
     std::vector<addressed_grant> grants;
     if (m_superseded)
         return grants;
+    const bool complete = isComplete(now);
     bool granted = true;
     while (granted) {
         granted = false;
-        for (const target_listing &target : m_targets.free(certainty, isComplete(now), now)) {
+        for (const target_listing &target : m_targets.free(certainty, complete, now)) {
             if (!m_dataCentresIn.contains(target.dataCentre))
                 continue;
             const std::optional<std::string> workspace = nextWorkspace(target.dataCentre, now);
@@ -212,7 +213,7 @@
     for (const protocol::ticket_outcome &outcome : usage.outcomes)
         takeOutcome(outcome, now);
     if (report.complete)
-        releaseUnlisted(report.router, usage, now);
+        releaseUnlisted(report.router, usage);
     router_state &router = m_routers[report.router];
     if (usage.epochKnown == m_options.epoch) {
         router.complete = router.complete || report.complete;
@@ -258,8 +259,7 @@
     settle(found, finalCharge(outcome));
 }
 
-void shard_scheduler::releaseUnlisted(const std::string &router, const protocol::shard_usage &usage,
-                                      absl::Time /*now*/)
+void shard_scheduler::releaseUnlisted(const std::string &router, const protocol::shard_usage &usage)
 {
     std::set<ticket_key> listed;
     for (const protocol::running_ticket &running : usage.running)
--- a/modules/scheduling/shard/shard_scheduler.h
+++ b/modules/scheduling/shard/shard_scheduler.h
@@ -153,8 +153,7 @@
                    absl::Time now);
     void takeRunning(const std::string &router, const protocol::running_ticket &running);
     void takeOutcome(const protocol::ticket_outcome &outcome, absl::Time now);
-    void releaseUnlisted(const std::string &router, const protocol::shard_usage &usage,
-                         absl::Time now);
+    void releaseUnlisted(const std::string &router, const protocol::shard_usage &usage);
     void releaseAll(const std::string &router, absl::Time now);
     void updateBacklog(const std::set<std::string> &workspaces);
     void recountPending(const std::string &router);
