A target whose load could not be polled at once is polled later

Found by reading: when the queue of polls was full, the target stayed marked as being polled and was never polled again. No test brings this about.

--- a/apps/scheduler/scheduler_process.cpp
+++ b/apps/scheduler/scheduler_process.cpp
@@ -147,8 +147,10 @@
         }
         for (const target_listing &target : targets) {
             const absl::MutexLock lock(&m_pollMutex);
-            if (m_polling.insert(target.target).second)
-                m_loadWork.add([this, target] { poll(target); });
+            if (!m_polling.insert(target.target).second)
+                continue;
+            if (!m_loadWork.add([this, target] { poll(target); }))
+                m_polling.erase(target.target);
         }
     } while (!m_stop.WaitForNotificationWithTimeout(loadInterval));
 }
