--- /dev/null
+++ b/apps/edge/caller_connection.cpp
@@ -0,0 +1,290 @@
+#include "apps/edge/caller_connection.h"
+
+#include "apps/edge/edge_clock.h"
+#include "apps/edge/request_run.h"
+#include "apps/edge/socket_options.h"
+#include "platform/request_dialect.h"
+
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace quetzal {
+
+using boost::system::error_code;
+
+namespace {
+
+/** Bytes of further requests that are read while one is served. */
+constexpr std::size_t mostPipelinedBytes = 65536;
+/** How long an idle connection is kept beyond what callers may expect. */
+constexpr absl::Duration idleSlack = absl::Milliseconds(300);
+/** How long a closed connection waits for the caller to read the last answer. */
+constexpr absl::Duration lingerTime = absl::Seconds(1);
+constexpr int statusBadRequest = 400;
+constexpr int statusTimeout = 408;
+constexpr int statusBodyTooLarge = 413;
+constexpr int statusHeadTooLarge = 431;
+constexpr int statusUnavailable = 503;
+constexpr absl::Duration retryAfterFull = absl::Milliseconds(500);
+
+caller_limits limitsOf(const edge_context &context)
+{
+    const auto &table = context.node.routes();
+    return table ? table->limits() : caller_limits {};
+}
+
+} // namespace
+
+caller_connection::caller_connection(edge_context &context, boost::asio::ip::tcp::socket socket)
+    : m_context(context)
+    , m_socket(std::move(socket))
+    , m_timer(context.loop)
+{
+}
+
+caller_connection::~caller_connection()
+{
+    dropHeldBytes();
+}
+
+void caller_connection::start()
+{
+    setConnectionOptions(m_socket);
+    ++m_context.counts.connections;
+    setTimer(limitsOf(m_context).idleTimeout + idleSlack);
+    read();
+}
+
+bool caller_connection::mayStayOpen() const
+{
+    return m_keepAlive && !m_context.isStopping;
+}
+
+void caller_connection::read()
+{
+    if (m_isReading || m_isClosed || m_input.size() > mostPipelinedBytes)
+        return;
+    m_isReading = true;
+    const auto self = shared_from_this();
+    m_socket.async_read_some(boost::asio::buffer(m_buffer),
+                             [self](const error_code &error, std::size_t count) {
+                                 self->m_isReading = false;
+                                 if (self->m_isClosed)
+                                     return;
+                                 if (error)
+                                     self->onEnd();
+                                 else
+                                     self->onBytes(count);
+                             });
+}
+
+void caller_connection::onBytes(std::size_t count)
+{
+    if (!m_isClosing) {
+        m_input.append(m_buffer.data(), count);
+        if (!m_run)
+            process();
+    }
+    read();
+}
+
+void caller_connection::onEnd()
+{
+    const auto run = std::exchange(m_run, nullptr);
+    if (run)
+        run->onCallerGone();
+    close();
+}
+
+void caller_connection::process()
+{
+    if (m_isClosing || m_isClosed || m_input.empty())
+        return;
+    const caller_limits limits = limitsOf(m_context);
+    if (!m_reader) {
+        m_reader = std::make_unique<request_reader>(
+            request_limits {.headBytes = limits.headBytes, .bodyBytes = limits.bodyBytes});
+        m_firstByteAt = edgeNow();
+        m_continueSent = false;
+        setTimer(limits.headTimeout);
+    }
+    const std::size_t used = m_reader->consume(m_input);
+    m_input.erase(0, used);
+    if (m_reader->fault() != request_fault::None) {
+        onFault(m_reader->fault());
+        return;
+    }
+    if (m_reader->isHeadComplete()) {
+        const std::size_t held = m_reader->body().size();
+        m_context.heldBytes += held - m_heldBytes;
+        m_heldBytes = held;
+    }
+    if (m_context.heldBytes > m_context.mostHeldBytes) {
+        const rejection full {.status = statusUnavailable,
+                              .code = result_code::RouterQueueFull,
+                              .retryAfter = retryAfterFull};
+        const std::string text = platform::ownBody(full);
+        send(toBytes(platform::ownAnswer(full, {}), {.length = text.size(), .close = true}) + text);
+        finishAnswer(true);
+        return;
+    }
+    if (m_reader->isComplete()) {
+        startRequest();
+        return;
+    }
+    if (m_reader->isHeadComplete() && used > 0) {
+        setTimer(limits.headTimeout);
+        if (m_reader->head().expectsContinue && !std::exchange(m_continueSent, true))
+            send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+}
+
+void caller_connection::onFault(request_fault fault)
+{
+    rejection reason {.status = statusBadRequest, .code = result_code::MalformedRequest};
+    if (fault == request_fault::HeadTooLarge)
+        reason.status = statusHeadTooLarge;
+    if (fault == request_fault::BodyTooLarge)
+        reason = {.status = statusBodyTooLarge, .code = result_code::BodyTooLarge};
+    m_context.log.line("request_unreadable").number("status", reason.status);
+    const std::string text = platform::ownBody(reason);
+    send(toBytes(platform::ownAnswer(reason, {}), {.length = text.size(), .close = true}) + text);
+    finishAnswer(true);
+}
+
+void caller_connection::startRequest()
+{
+    m_keepAlive = m_reader->head().keepAlive;
+    m_timer.cancel();
+    ++m_context.counts.requests;
+    m_run = std::make_shared<request_run>(m_context, weak_from_this(), m_reader->head(),
+                                          m_reader->body(), m_firstByteAt);
+    m_reader.reset();
+    const auto run = m_run;
+    run->start();
+}
+
+void caller_connection::dropHeldBytes()
+{
+    m_context.heldBytes -= std::exchange(m_heldBytes, 0);
+}
+
+void caller_connection::send(std::string bytes)
+{
+    if (m_isClosed)
+        return;
+    m_pending += bytes;
+    write();
+}
+
+void caller_connection::write()
+{
+    if (!m_writing.empty() || m_isClosed)
+        return;
+    if (m_pending.empty()) {
+        if (m_isClosing)
+            beginLingeringClose();
+        return;
+    }
+    m_writing = std::exchange(m_pending, {});
+    const auto self = shared_from_this();
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
+                             [self](const error_code &error, std::size_t) {
+                                 if (self->m_isClosed)
+                                     return;
+                                 self->m_writing.clear();
+                                 if (error) {
+                                     self->onEnd();
+                                     return;
+                                 }
+                                 if (self->m_onDrained)
+                                     self->m_onDrained();
+                                 self->write();
+                             });
+}
+
+void caller_connection::finishAnswer(bool close)
+{
+    const auto self = shared_from_this();
+    m_run.reset();
+    m_onDrained = nullptr;
+    dropHeldBytes();
+    if (close) {
+        m_isClosing = true;
+        setTimer(lingerTime);
+        write();
+        return;
+    }
+    setTimer(limitsOf(m_context).idleTimeout + idleSlack);
+    boost::asio::post(m_context.loop, [self] {
+        if (!self->m_run)
+            self->process();
+        self->read();
+    });
+}
+
+void caller_connection::beginLingeringClose()
+{
+    error_code ignored;
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    m_input.clear();
+    setTimer(lingerTime);
+    read();
+}
+
+void caller_connection::abort()
+{
+    m_run.reset();
+    close();
+}
+
+void caller_connection::closeIfIdle()
+{
+    if (!m_isClosing && isIdle() && !m_reader)
+        close();
+}
+
+void caller_connection::close()
+{
+    if (m_isClosed)
+        return;
+    const auto self = shared_from_this();
+    m_isClosed = true;
+    m_timer.cancel();
+    m_onDrained = nullptr;
+    dropHeldBytes();
+    error_code ignored;
+    m_socket.close(ignored);
+    const auto onClosed = std::exchange(m_onClosed, nullptr);
+    if (onClosed)
+        onClosed();
+}
+
+void caller_connection::setTimer(absl::Duration after)
+{
+    m_timer.expires_after(absl::ToChronoNanoseconds(after));
+    const std::weak_ptr<caller_connection> weak = weak_from_this();
+    m_timer.async_wait([weak](const error_code &error) {
+        const auto self = weak.lock();
+        if (!error && self)
+            self->onTimer();
+    });
+}
+
+void caller_connection::onTimer()
+{
+    if (m_run)
+        return;
+    if (m_isClosing || !m_reader) {
+        close();
+        return;
+    }
+    const rejection slow {.status = statusTimeout, .code = result_code::MalformedRequest};
+    const std::string text = platform::ownBody(slow);
+    send(toBytes(platform::ownAnswer(slow, {}), {.length = text.size(), .close = true}) + text);
+    finishAnswer(true);
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/edge/edge_process.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "apps/edge/caller_connection.h"
+#include "apps/edge/edge_context.h"
+#include "apps/edge/listener.h"
+#include "apps/edge/mirror_session.h"
+#include "apps/edge/status_connection.h"
+#include "forwarding/settings/edge_settings.h"
+
+#include <absl/container/flat_hash_set.h>
+#include <absl/time/time.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace quetzal {
+
+/** One edge process: sockets, timers and signals around a forwarding_node. */
+class edge_process
+{
+public:
+    /** Throws std::system_error when an address can't be bound. */
+    explicit edge_process(edge_settings settings);
+
+    /** Serves until the process was told to stop and has finished. */
+    void run();
+
+private:
+    void onCaller(boost::asio::ip::tcp::socket socket);
+    void onConfiguration(const std::vector<key_change> &changes);
+    void onTargets(const std::vector<key_change> &changes, bool first);
+    void onMembers();
+    void announce();
+    void waitForSignal();
+    void beginStop();
+    void tick();
+    void tickStop(absl::Time now);
+    bool isReady() const;
+    status_page statusPage(const std::string &path) const;
+    std::string metricsText() const;
+
+    edge_settings m_settings;
+    boost::asio::io_context m_loop;
+    event_log m_log;
+    forwarding_node m_node;
+    target_pool m_pool;
+    edge_context m_context;
+    boost::asio::signal_set m_signals;
+    boost::asio::steady_timer m_timer;
+    mirror_session m_configuration;
+    mirror_session m_targets;
+    mirror_session m_members;
+    http_client m_announcer;
+    bool m_isAnnouncing = false;
+    bool m_isAnnounced = false;
+    listener m_callers;
+    listener m_readiness;
+    listener m_metrics;
+    absl::flat_hash_set<std::shared_ptr<caller_connection>> m_connections;
+    std::optional<absl::Time> m_stopBegan;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/edge/listener.cpp
@@ -0,0 +1,58 @@
+#include "apps/edge/listener.h"
+
+#include "apps/edge/socket_options.h"
+
+#include <chrono>
+#include <utility>
+
+namespace quetzal {
+
+using boost::system::error_code;
+
+namespace {
+
+constexpr int backlog = 1024;
+/** The pause after a failed accept, such as for want of descriptors. */
+constexpr std::chrono::milliseconds acceptPause {50};
+
+} // namespace
+
+listener::listener(boost::asio::io_context &loop, const network_address &address,
+                   callback onConnection)
+    : m_acceptor(loop)
+    , m_timer(loop)
+    , m_onConnection(std::move(onConnection))
+{
+    m_acceptor.open(boost::asio::ip::tcp::v4());
+    m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    m_acceptor.bind(endpointOf(address));
+    m_acceptor.listen(backlog);
+    accept();
+}
+
+void listener::accept()
+{
+    m_acceptor.async_accept([this](const error_code &error, boost::asio::ip::tcp::socket socket) {
+        if (!m_acceptor.is_open())
+            return;
+        if (!error) {
+            m_onConnection(std::move(socket));
+            accept();
+            return;
+        }
+        m_timer.expires_after(acceptPause);
+        m_timer.async_wait([this](const error_code &cancelled) {
+            if (!cancelled && m_acceptor.is_open())
+                accept();
+        });
+    });
+}
+
+void listener::stop()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+    m_timer.cancel();
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/edge/listener.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "directory/target/target_record.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+
+namespace quetzal {
+
+/** Accepts connections on one address. */
+class listener
+{
+public:
+    using callback = std::function<void(boost::asio::ip::tcp::socket)>;
+
+    /** Throws std::system_error when the address can't be bound. */
+    listener(boost::asio::io_context &loop, const network_address &address, callback onConnection);
+
+    /** Takes no further connections. */
+    void stop();
+
+private:
+    void accept();
+
+    boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::steady_timer m_timer;
+    callback m_onConnection;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/edge/mirror_session.cpp
@@ -0,0 +1,135 @@
+#include "apps/edge/mirror_session.h"
+
+#include "apps/edge/edge_clock.h"
+#include "platform/store_dialect.h"
+
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+/** How long a watch waits at the store; also how soon a silent connection is noticed. */
+constexpr absl::Duration watchWait = absl::Milliseconds(1800);
+/** The time beyond the wait in which the store must answer. */
+constexpr absl::Duration callTimeout = absl::Milliseconds(800);
+constexpr absl::Duration listTimeout = absl::Milliseconds(1500);
+constexpr int statusOk = 200;
+
+} // namespace
+
+mirror_session::mirror_session(boost::asio::io_context &loop, event_log &log,
+                               const network_address &store, std::string prefix,
+                               mirror_callbacks callbacks)
+    : m_timer(loop)
+    , m_log(log)
+    , m_client(loop, store)
+    , m_follower(std::move(prefix))
+    , m_callbacks(std::move(callbacks))
+{
+}
+
+void mirror_session::start()
+{
+    step();
+}
+
+void mirror_session::stop()
+{
+    m_timer.cancel();
+    m_client.stop();
+}
+
+void mirror_session::step()
+{
+    const follower_step next = m_follower.next();
+    if (next.pause <= absl::ZeroDuration()) {
+        run(next);
+        return;
+    }
+    m_timer.expires_after(absl::ToChronoNanoseconds(next.pause));
+    m_timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            run(m_follower.next());
+    });
+}
+
+void mirror_session::run(const follower_step &step)
+{
+    const std::string &prefix = m_follower.mirror().prefix();
+    const bool isWatch = step.what == follower_step::action::Watch;
+    const platform::store_call call = isWatch
+                                          ? platform::watchCall(prefix, step.revision, watchWait)
+                                          : platform::listCall(prefix, step.afterKey);
+    m_client.call({.method = call.method,
+                   .target = call.target,
+                   .body = call.body,
+                   .timeout = isWatch ? watchWait + callTimeout : listTimeout},
+                  [this, step](const std::optional<http_result> &result) { onResult(step, result); });
+}
+
+void mirror_session::onResult(const follower_step &step, const std::optional<http_result> &result)
+{
+    const bool isWatch = step.what == follower_step::action::Watch;
+    if (result && isWatch && result->status == platform::historyLostStatus) {
+        m_log.line("history_lost").text("prefix", m_follower.mirror().prefix());
+        m_follower.onHistoryLost();
+    } else if (!result || result->status != statusOk || !apply(step, *result)) {
+        m_log.line("store_call_failed")
+            .text("prefix", m_follower.mirror().prefix())
+            .flag("watch", isWatch)
+            .number("status", result ? result->status : 0)
+            .number("bytes", result ? static_cast<std::int64_t>(result->body.size()) : 0);
+        m_follower.onFailure(edgeNow());
+    }
+    tellTouch();
+    this->step();
+}
+
+bool mirror_session::apply(const follower_step &step, const http_result &result)
+{
+    const absl::Time now = edgeNow();
+    const bool first = !m_follower.mirror().isComplete();
+    if (step.what == follower_step::action::Watch) {
+        const auto page = platform::readChanges(result.body);
+        if (!page)
+            return false;
+        const auto news = m_follower.onChanges(*page, now);
+        tellTouch();
+        tell(news, false);
+        return true;
+    }
+    const auto page = platform::readListing(result.body);
+    if (!page)
+        return false;
+    const auto news = m_follower.onListing(*page, now);
+    tellTouch();
+    tell(news, first);
+    return true;
+}
+
+void mirror_session::applyForeign(const std::vector<stored_item> &items, std::int64_t at)
+{
+    const bool first = !m_follower.mirror().isComplete();
+    tell(m_follower.onForeignListing(items, at), first);
+}
+
+void mirror_session::tell(const std::vector<key_change> &changes, bool first)
+{
+    if (!changes.empty())
+        m_callbacks.onChanges(changes, first);
+}
+
+void mirror_session::tellTouch()
+{
+    const bool inTouch = m_follower.isInTouch();
+    if (inTouch == std::exchange(m_wasInTouch, inTouch))
+        return;
+    m_log.line(inTouch ? "store_reached" : "store_lost")
+        .text("prefix", m_follower.mirror().prefix())
+        .number("revision", m_follower.mirror().revision());
+    if (m_callbacks.onTouch)
+        m_callbacks.onTouch(inTouch);
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/edge/status_connection.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "http/message/request_reader.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace quetzal {
+
+/** The answer of a status page. */
+struct status_page
+{
+    int status = 200;
+    std::string body;
+};
+
+/** A connection on which the process answers questions about itself, by path. */
+class status_connection : public std::enable_shared_from_this<status_connection>
+{
+public:
+    using handler = std::function<status_page(const std::string &path)>;
+
+    status_connection(boost::asio::io_context &loop, boost::asio::ip::tcp::socket socket,
+                      handler answer);
+    void start();
+
+private:
+    void read();
+    void process();
+    void write();
+    void setTimer();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    handler m_answer;
+    std::array<char, 2048> m_buffer {};
+    std::string m_input;
+    std::string m_output;
+    request_reader m_reader;
+    bool m_keepAlive = true;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/edge/target_connection.cpp
@@ -0,0 +1,225 @@
+#include "apps/edge/target_connection.h"
+
+#include "apps/edge/socket_options.h"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace quetzal {
+
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::chrono::milliseconds connectTimeout {400};
+/** Answers to other requests that are passed over before the connection is given up. */
+constexpr int mostSkipped = 2;
+
+} // namespace
+
+target_connection::target_connection(boost::asio::io_context &loop, network_address address)
+    : m_socket(loop)
+    , m_timer(loop)
+    , m_address(std::move(address))
+{
+}
+
+void target_connection::start(std::string request, bool isHead, exchange_callbacks callbacks)
+{
+    m_request = std::move(request);
+    m_callbacks = std::move(callbacks);
+    m_reader = response_reader(isHead);
+    m_input.clear();
+    m_isHead = isHead;
+    m_isBusy = true;
+    m_isSent = false;
+    m_headTold = false;
+    m_isSkipping = false;
+    m_skipped = 0;
+    if (m_isOpen)
+        write();
+    else
+        connect();
+}
+
+void target_connection::connect()
+{
+    const auto self = shared_from_this();
+    m_timer.expires_after(connectTimeout);
+    m_timer.async_wait([self](const error_code &error) {
+        if (!error && !self->m_isOpen)
+            self->fail();
+    });
+    m_socket.async_connect(endpointOf(m_address), [self](const error_code &error) {
+        if (self->m_isClosed)
+            return;
+        self->m_timer.cancel();
+        if (error) {
+            self->fail();
+            return;
+        }
+        self->m_isOpen = true;
+        setConnectionOptions(self->m_socket);
+        self->write();
+    });
+}
+
+void target_connection::write()
+{
+    const auto self = shared_from_this();
+    m_isSent = true;
+    m_isWriting = true;
+    boost::asio::async_write(m_socket, boost::asio::buffer(m_request),
+                             [self](const error_code &error, std::size_t) {
+                                 self->m_isWriting = false;
+                                 if (error && !self->m_isClosed && !self->m_isReading)
+                                     self->fail();
+                             });
+    read();
+}
+
+void target_connection::read()
+{
+    if (m_isReading || m_isPaused || m_isClosed)
+        return;
+    const auto self = shared_from_this();
+    m_isReading = true;
+    m_socket.async_read_some(boost::asio::buffer(m_buffer),
+                             [self](const error_code &error, std::size_t count) {
+                                 self->m_isReading = false;
+                                 if (self->m_isClosed)
+                                     return;
+                                 if (error)
+                                     self->onEnd(error == boost::asio::error::eof);
+                                 else
+                                     self->onBytes(count);
+                             });
+}
+
+void target_connection::onBytes(std::size_t count)
+{
+    if (!m_isBusy) {
+        close();
+        return;
+    }
+    m_input.append(m_buffer.data(), count);
+    feed();
+    if (!m_isClosed)
+        read();
+}
+
+void target_connection::feed()
+{
+    const auto self = shared_from_this();
+    while (m_isBusy) {
+        m_input.erase(0, m_reader.consume(m_input));
+        if (m_reader.isFaulty()) {
+            fail();
+            return;
+        }
+        if (m_reader.isHeadComplete() && !m_headTold && !m_isSkipping) {
+            const answer_use use = m_callbacks.onHead(m_reader.head());
+            if (!m_isBusy)
+                return;
+            if (use == answer_use::Abandon || (use == answer_use::Skip && ++m_skipped > mostSkipped)) {
+                fail();
+                return;
+            }
+            m_headTold = use == answer_use::Accept;
+            m_isSkipping = use == answer_use::Skip;
+        }
+        std::string body = m_reader.takeBody();
+        if (m_headTold && !body.empty())
+            m_callbacks.onBody(std::move(body));
+        if (!m_isBusy)
+            return;
+        if (!m_reader.isComplete())
+            return;
+        if (!m_isSkipping) {
+            complete(!m_input.empty());
+            return;
+        }
+        m_isSkipping = false;
+        m_reader = response_reader(m_isHead);
+        if (m_input.empty())
+            return;
+    }
+}
+
+void target_connection::complete(bool hasRest)
+{
+    m_keepAlive = m_reader.head().keepAlive && !hasRest && !m_isWriting;
+    m_isBusy = false;
+    const exchange_callbacks callbacks = std::exchange(m_callbacks, {});
+    if (!m_keepAlive)
+        close();
+    callbacks.onComplete();
+}
+
+void target_connection::onEnd(bool orderly)
+{
+    const auto self = shared_from_this();
+    if (!m_isBusy) {
+        close();
+        return;
+    }
+    if (orderly)
+        m_reader.consumeEnd();
+    if (!orderly || !m_reader.isComplete() || !m_headTold) {
+        fail();
+        return;
+    }
+    std::string body = m_reader.takeBody();
+    if (!body.empty())
+        m_callbacks.onBody(std::move(body));
+    if (m_isBusy)
+        complete(true);
+}
+
+void target_connection::fail()
+{
+    const auto self = shared_from_this();
+    const bool wasBusy = std::exchange(m_isBusy, false);
+    const exchange_callbacks callbacks = std::exchange(m_callbacks, {});
+    close();
+    if (wasBusy && callbacks.onFailed)
+        callbacks.onFailed(m_isSent);
+}
+
+void target_connection::cancel()
+{
+    m_isBusy = false;
+    m_callbacks = {};
+    close();
+}
+
+void target_connection::setPaused(bool paused)
+{
+    m_isPaused = paused;
+    if (!paused && m_isOpen)
+        read();
+}
+
+bool target_connection::isReusable() const
+{
+    return m_isOpen && !m_isClosed && !m_isBusy && !m_isWriting && m_keepAlive;
+}
+
+void target_connection::close()
+{
+    if (m_isClosed)
+        return;
+    m_isClosed = true;
+    m_isOpen = false;
+    m_timer.cancel();
+    error_code ignored;
+    m_socket.close(ignored);
+    const auto onClosed = std::exchange(m_onClosed, nullptr);
+    if (onClosed)
+        onClosed();
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/edge/target_connection.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "directory/target/target_record.h"
+#include "http/message/response_reader.h"
+
+#include <absl/time/time.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace quetzal {
+
+/** What becomes of an answer once its head was read. */
+enum class answer_use
+{
+    Accept,
+    /** It belongs to another request: it is read to its end and forgotten. */
+    Skip,
+    /** The connection can't be used any more. */
+    Abandon,
+};
+
+/** How an exchange is told to its owner; none is called after the end or a cancel. */
+struct exchange_callbacks
+{
+    std::function<answer_use(const response_head &)> onHead;
+    std::function<void(std::string body)> onBody;
+    std::function<void()> onComplete;
+    /** sent: bytes of the request may have reached the target. */
+    std::function<void(bool sent)> onFailed;
+};
+
+/** One connection to a target, which carries one exchange at a time. */
+class target_connection : public std::enable_shared_from_this<target_connection>
+{
+public:
+    target_connection(boost::asio::io_context &loop, network_address address);
+
+    /** Connects if needed, sends the request and reads its answer. */
+    void start(std::string request, bool isHead, exchange_callbacks callbacks);
+    /** Ends the exchange without telling its owner, and closes the connection. */
+    void cancel();
+    /** Stops and goes on reading, for an owner that can't take more. */
+    void setPaused(bool paused);
+    /** True when a further exchange may use the connection. */
+    bool isReusable() const;
+    bool isOpen() const { return m_isOpen; }
+    /** How long the target keeps the connection open while it is idle. */
+    void setIdleTimeout(absl::Duration timeout) { m_idleTimeout = timeout; }
+    absl::Duration idleTimeout() const { return m_idleTimeout; }
+    /** Told once when the connection is closed. */
+    void setOnClosed(std::function<void()> onClosed) { m_onClosed = std::move(onClosed); }
+
+private:
+    void connect();
+    void write();
+    void read();
+    void onBytes(std::size_t count);
+    void onEnd(bool orderly);
+    void feed();
+    void complete(bool hasRest);
+    void fail();
+    void close();
+
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    network_address m_address;
+    std::string m_request;
+    exchange_callbacks m_callbacks;
+    response_reader m_reader;
+    std::array<char, 8192> m_buffer {};
+    /** Bytes that were read and are not yet understood. */
+    std::string m_input;
+    absl::Duration m_idleTimeout;
+    std::function<void()> m_onClosed;
+    bool m_isOpen = false;
+    bool m_isBusy = false;
+    bool m_isSent = false;
+    bool m_isWriting = false;
+    bool m_isReading = false;
+    bool m_isPaused = false;
+    bool m_isClosed = false;
+    bool m_headTold = false;
+    bool m_isSkipping = false;
+    bool m_isHead = false;
+    bool m_keepAlive = true;
+    int m_skipped = 0;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/budgets/cold/cold_start_limiter.cpp
@@ -0,0 +1,42 @@
+#include "budgets/cold/cold_start_limiter.h"
+
+#include "foundation/hashing/stable_hash.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+int shareOf(int permits, const std::string &key, const router_group &group)
+{
+    const auto members = static_cast<int>(std::max<std::size_t>(group.members.size(), 1));
+    const int whole = permits / members;
+    const int rest = permits % members;
+    if (rest == 0)
+        return whole;
+    const std::uint64_t own = rendezvousWeight(key, group.self);
+    const auto ahead = std::count_if(
+        group.members.begin(), group.members.end(), [&](const std::string &member) {
+            return member != group.self && rendezvousWeight(key, member) > own;
+        });
+    return whole + (ahead < rest ? 1 : 0);
+}
+
+bool cold_start_limiter::maySend(const std::string &target, int permits, const router_group &group,
+                                 absl::Time now) const
+{
+    const auto found = m_sent.find(target);
+    const std::size_t sent = found == m_sent.end() ? 0 : found->second.count(now);
+    return static_cast<int>(sent) < shareOf(permits, target, group);
+}
+
+void cold_start_limiter::onSent(const std::string &target, absl::Time now)
+{
+    m_sent.try_emplace(target, window).first->second.add(now);
+}
+
+void cold_start_limiter::remove(const std::string &target)
+{
+    m_sent.erase(target);
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/budgets/retry/shared_retry_budget.cpp
@@ -0,0 +1,37 @@
+#include "budgets/retry/shared_retry_budget.h"
+
+#include <algorithm>
+
+namespace quetzal {
+
+shared_retry_budget::shared_retry_budget(retry_limits limits)
+    : m_limits(limits)
+{
+}
+
+shared_retry_budget::account &shared_retry_budget::accountOf(const std::string &service)
+{
+    return m_accounts
+        .try_emplace(service, account {.requests = sliding_counter(m_limits.window),
+                                       .repeats = sliding_counter(m_limits.window)})
+        .first->second;
+}
+
+void shared_retry_budget::onRequest(const std::string &service, absl::Time now)
+{
+    accountOf(service).requests.add(now);
+}
+
+bool shared_retry_budget::trySpend(const std::string &service, std::size_t routers, absl::Time now)
+{
+    account &entry = accountOf(service);
+    const double sharers = static_cast<double>(std::max<std::size_t>(routers, 1));
+    const double earned = m_limits.ratio * static_cast<double>(entry.requests.count(now));
+    const double limit = usedPart * (earned + m_limits.allowance / sharers);
+    if (static_cast<double>(entry.repeats.count(now)) + 1.0 > limit)
+        return false;
+    entry.repeats.add(now);
+    return true;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/directory/mirror/mirror_follower.cpp
@@ -0,0 +1,71 @@
+#include "directory/mirror/mirror_follower.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzal {
+
+mirror_follower::mirror_follower(std::string prefix)
+    : m_mirror(std::move(prefix))
+{
+}
+
+follower_step mirror_follower::next() const
+{
+    follower_step step;
+    if (m_failures > 0)
+        step.pause = std::min(firstPause * m_failures, longestPause);
+    if (!m_isListing) {
+        step.what = follower_step::action::Watch;
+        step.revision = m_mirror.revision();
+        return step;
+    }
+    if (!m_listed.empty())
+        step.afterKey = m_listed.back().key;
+    return step;
+}
+
+void mirror_follower::onSuccess(absl::Time now)
+{
+    m_failures = 0;
+    m_lastSuccess = now;
+}
+
+std::vector<key_change> mirror_follower::onListing(const listing_page &page, absl::Time now)
+{
+    onSuccess(now);
+    if (m_listed.empty())
+        m_listedAt = page.at;
+    m_listed.insert(m_listed.end(), page.items.begin(), page.items.end());
+    if (page.hasMore && !page.items.empty())
+        return {};
+    m_isListing = false;
+    return m_mirror.applyListing(std::exchange(m_listed, {}), m_listedAt);
+}
+
+std::vector<key_change> mirror_follower::onChanges(const change_page &page, absl::Time now)
+{
+    onSuccess(now);
+    return m_mirror.applyChanges(page.changes, page.at);
+}
+
+void mirror_follower::onHistoryLost()
+{
+    m_isListing = true;
+    m_listed.clear();
+}
+
+void mirror_follower::onFailure(absl::Time)
+{
+    ++m_failures;
+    if (m_isListing)
+        m_listed.clear();
+}
+
+std::vector<key_change> mirror_follower::onForeignListing(const std::vector<stored_item> &items,
+                                                          std::int64_t at)
+{
+    return m_mirror.applyListing(items, at);
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/directory/mirror/mirror_messages.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "directory/mirror/prefix_mirror.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace quetzal {
+
+/** One page of the keys below a prefix. */
+struct listing_page
+{
+    std::vector<stored_item> items;
+    /** True when more keys follow. */
+    bool hasMore = false;
+    /** The service's revision when the page was read. */
+    std::int64_t at = 0;
+
+    bool operator==(const listing_page &) const = default;
+};
+
+/** What has changed below a prefix up to a revision. */
+struct change_page
+{
+    std::vector<key_change> changes;
+    std::int64_t at = 0;
+
+    bool operator==(const change_page &) const = default;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/directory/mirror/prefix_mirror.cpp
@@ -0,0 +1,79 @@
+#include "directory/mirror/prefix_mirror.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzal {
+
+prefix_mirror::prefix_mirror(std::string prefix)
+    : m_prefix(std::move(prefix))
+{
+}
+
+bool prefix_mirror::isNews(const std::string &key, std::int64_t revision) const
+{
+    if (const auto found = m_entries.find(key); found != m_entries.end())
+        return revision > found->second.revision;
+    if (const auto removed = m_removed.find(key); removed != m_removed.end())
+        return revision > removed->second;
+    return true;
+}
+
+std::vector<key_change> prefix_mirror::applyChanges(const std::vector<key_change> &changes,
+                                                    std::int64_t at)
+{
+    std::vector<key_change> news;
+    for (const key_change &change : changes) {
+        if (!change.key.starts_with(m_prefix) || !isNews(change.key, change.revision))
+            continue;
+        const bool known = m_entries.contains(change.key);
+        if (change.value) {
+            m_removed.erase(change.key);
+            m_entries[change.key] = {.value = *change.value, .revision = change.revision};
+        } else {
+            m_entries.erase(change.key);
+            m_removed[change.key] = change.revision;
+        }
+        if (change.value || known)
+            news.push_back(change);
+    }
+    m_revision = std::max(m_revision, at);
+    return news;
+}
+
+std::vector<key_change> prefix_mirror::applyListing(const std::vector<stored_item> &items,
+                                                    std::int64_t at)
+{
+    std::vector<key_change> changes;
+    absl::flat_hash_set<std::string> listed;
+    for (const stored_item &item : items) {
+        listed.insert(item.key);
+        const bool isResurrected = at < m_revision && item.revision <= m_revision
+                                   && !m_entries.contains(item.key) && m_complete;
+        if (!isResurrected)
+            changes.push_back({.key = item.key, .value = item.value, .revision = item.revision});
+    }
+    for (const auto &[key, known] : m_entries) {
+        if (!listed.contains(key) && known.revision <= at && at >= m_revision)
+            changes.push_back({.key = key, .value = std::nullopt, .revision = at + 1});
+    }
+    std::vector<key_change> news = applyChanges(changes, at);
+    for (const key_change &change : news) {
+        if (!change.value)
+            m_removed[change.key] = at;
+    }
+    m_complete = true;
+    return news;
+}
+
+std::vector<stored_item> prefix_mirror::items() const
+{
+    std::vector<stored_item> all;
+    for (const auto &[key, known] : m_entries)
+        all.push_back({.key = key, .value = known.value, .revision = known.revision});
+    return all;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -0,0 +1,307 @@
+#include "forwarding/node/forwarding_node.h"
+
+#include "foundation/hashing/stable_hash.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+constexpr int statusUnauthorized = 401;
+constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
+/** When callers come back while nothing can serve them yet. */
+constexpr absl::Duration retryAfterStart = absl::Seconds(1);
+/** The shortest time after which a caller is asked back. */
+constexpr absl::Duration leastRetryAfter = absl::Milliseconds(200);
+/** The time of a plain request before any was seen. */
+constexpr absl::Duration firstPerRequest = absl::Milliseconds(50);
+/** The time of a prompt token before any was seen and when the configuration tells no rate. */
+constexpr absl::Duration firstPerToken = absl::Microseconds(20);
+/** An engine reads its prompts faster than its rate over both reading and making tokens. */
+constexpr double readingOverMixedRate = 2.0;
+/** What a model request costs beside the reading of its prompt. */
+constexpr absl::Duration fixedModelWork = absl::Milliseconds(8);
+constexpr double lostAnswerWeight = 1.0;
+constexpr double failedAnswerWeight = 0.15;
+constexpr double refusalWeight = 0.7;
+
+/** The part of the prompt by which requests that share it find the same target. */
+std::string affinityKey(const std::vector<prompt_part> &prompt)
+{
+    if (prompt.empty())
+        return {};
+    const prompt_part &part = prompt.size() > 1 ? prompt[prompt.size() - 2] : prompt.back();
+    return std::to_string(part.id);
+}
+
+} // namespace
+
+forwarding_node::forwarding_node(forwarding_options options)
+    : m_options(std::move(options))
+    , m_repeats(m_options.retries)
+{
+}
+
+bool forwarding_node::setRoutes(std::shared_ptr<const route_table> table)
+{
+    if (m_table && table->version() <= m_table->version())
+        return false;
+    m_table = std::move(table);
+    return true;
+}
+
+void forwarding_node::applyTarget(const target_record &record, bool wasListedAtStart,
+                                  absl::Time now)
+{
+    const target_state *known = m_directory.find(record.id);
+    const bool isRestarted
+        = known != nullptr && known->record.startedAtMs != record.startedAtMs;
+    if (isRestarted)
+        m_views.erase(record.id);
+    absl::Duration coldStart;
+    if (const service_description *service = m_table ? m_table->service(record.service) : nullptr;
+        service != nullptr && !wasListedAtStart)
+        coldStart = service->coldStart;
+    m_directory.apply(record, coldStart, now);
+}
+
+void forwarding_node::removeTarget(const std::string &id, absl::Time now)
+{
+    m_directory.remove(id, now);
+    if (m_directory.find(id) == nullptr)
+        m_coldLimiter.remove(id);
+}
+
+void forwarding_node::setEvacuated(const absl::flat_hash_set<std::string> &dataCentres,
+                                   absl::Time now)
+{
+    absl::flat_hash_map<std::string, absl::Duration> coldStarts;
+    if (m_table) {
+        for (const service_description &service : m_table->services())
+            coldStarts[service.name] = service.coldStart;
+    }
+    m_directory.setEvacuated(dataCentres, coldStarts, now);
+}
+
+std::variant<admitted_request, rejection>
+forwarding_node::admit(const request_description &request, absl::Time arrivedAt) const
+{
+    if (!m_table)
+        return rejection {.status = statusUnavailable,
+                          .code = result_code::ConfigurationMissing,
+                          .retryAfter = retryAfterStart};
+    const route *rule = m_table->find(request.host, request.path);
+    if (rule == nullptr || rule->services.empty())
+        return rejection {.status = statusNotFound, .code = result_code::ServiceUnknown};
+    const std::string *workspace
+        = request.key.empty() ? nullptr : m_table->workspaceOf(request.key);
+    if (m_table->hasWorkspaces() && !rule->isPublic && workspace == nullptr)
+        return rejection {.status = statusUnauthorized, .code = result_code::KeyUnknown};
+    absl::Time dueAt = arrivedAt + rule->timeout;
+    if (request.patience)
+        dueAt = std::min(dueAt, arrivedAt + *request.patience);
+    return admitted_request {.table = m_table,
+                             .rule = rule,
+                             .service = serviceFor(*rule, request.id),
+                             .workspace = workspace == nullptr ? std::string() : *workspace,
+                             .arrivedAt = arrivedAt,
+                             .dueAt = dueAt};
+}
+
+void forwarding_node::onAdmitted(const admitted_request &request, absl::Time now)
+{
+    m_repeats.onRequest(request.service, now);
+}
+
+forwarding_node::target_view &forwarding_node::viewOf(const std::string &target,
+                                                      const service_description &service)
+{
+    target_view &view = m_views[target];
+    if (service.isModelEngine() && !view.cache)
+        view.cache = std::make_unique<prompt_cache_view>(service.promptCacheTokens);
+    return view;
+}
+
+service_speed &forwarding_node::speedOf(const service_description &service)
+{
+    const auto found = m_speeds.find(service.name);
+    if (found != m_speeds.end())
+        return found->second;
+    absl::Duration perToken = firstPerToken;
+    const double rate = m_table->limits().tokensPerSecond;
+    const auto targets = static_cast<double>(m_directory.countListed(service.name));
+    if (rate > 0.0 && targets > 0.0)
+        perToken = absl::Seconds(targets / (rate * readingOverMixedRate));
+    return m_speeds.emplace(service.name, service_speed(perToken, firstPerRequest)).first->second;
+}
+
+int forwarding_node::coldPermits(const service_description &service) const
+{
+    return static_cast<int>(std::floor(service.coldRequestsPerSecond * m_options.coldFactor
+                                       + m_options.coldAllowance));
+}
+
+target_candidate forwarding_node::candidateFor(const target_state &state,
+                                               const service_description &service,
+                                               const request_description &description,
+                                               option &choice, absl::Time now)
+{
+    const target_view &view = viewOf(state.record.id, service);
+    const service_speed &speed = speedOf(service);
+    target_candidate candidate {.id = state.record.id,
+                                .backlog = view.load.backlog(now),
+                                .overdue = view.load.overdue(now),
+                                .failures = view.load.failures(now),
+                                .isInOwnDataCentre
+                                = state.record.dataCentre == m_options.dataCentre};
+    const int slots = std::max(state.record.slots, 1);
+    candidate.occupancy
+        = static_cast<double>(view.load.inFlightOfAll(now)) / static_cast<double>(slots);
+    if (!service.isModelEngine()) {
+        candidate.ownWork = speed.perRequest() / slots;
+        return candidate;
+    }
+    choice.missingTokens = view.cache->missingTokens(description.prompt);
+    const std::int64_t lastPart
+        = description.prompt.empty() ? 0 : description.prompt.back().tokens;
+    const std::int64_t repeated
+        = std::max<std::int64_t>(choice.missingTokens - lastPart, 0);
+    candidate.ownWork
+        = fixedModelWork + speed.perToken() * static_cast<double>(choice.missingTokens);
+    candidate.repeatedWork = speed.perToken() * static_cast<double>(repeated);
+    return candidate;
+}
+
+rejection forwarding_node::overloaded(absl::Duration backlog) const
+{
+    return {.status = statusUnavailable,
+            .code = result_code::RouterQueueFull,
+            .retryAfter = std::max(backlog - m_options.mostBacklog / 2, leastRetryAfter)};
+}
+
+std::variant<placement, rejection>
+forwarding_node::place(std::uint64_t number, const admitted_request &request,
+                       const request_description &description,
+                       const absl::flat_hash_set<std::string> &excluded, absl::Time now)
+{
+    const service_description *service = request.table->service(request.service);
+    const rejection nothingThere {.status = statusUnavailable,
+                                  .code = result_code::NoTargetAvailable,
+                                  .retryAfter = retryAfterStart};
+    if (service == nullptr)
+        return nothingThere;
+    const std::string key = affinityKey(description.prompt);
+    const int permits = coldPermits(*service);
+    std::vector<target_candidate> candidates;
+    std::vector<option> options;
+    std::size_t home = 0;
+    for (const target_state *state : m_directory.usable(request.service, now)) {
+        const std::string &id = state->record.id;
+        const bool isCold = now < state->coldUntil;
+        if (excluded.contains(id)
+            || (isCold && !m_coldLimiter.maySend(id, permits, m_options.routers, now)))
+            continue;
+        option choice {.state = state};
+        candidates.push_back(candidateFor(*state, *service, description, choice, now));
+        options.push_back(choice);
+        candidates.back().affinity = rendezvousWeight(key, id);
+        if (candidates.back().affinity > candidates[home].affinity)
+            home = candidates.size() - 1;
+    }
+    if (candidates.empty())
+        return nothingThere;
+    candidates[home].isHome = service->isModelEngine();
+    const std::size_t best = *chooseTarget(candidates, m_options.weights);
+    const target_candidate &chosen = candidates[best];
+    const target_state &state = *options[best].state;
+    if (chosen.backlog > m_options.mostBacklog)
+        return overloaded(chosen.backlog);
+
+    target_view &view = viewOf(chosen.id, *service);
+    const bool isCold = now < state.coldUntil;
+    m_open[number] = {.service = request.service,
+                      .isModelRequest = service->isModelEngine(),
+                      .wasAlone = view.load.backlog(now) <= absl::ZeroDuration(),
+                      .missingTokens = options[best].missingTokens,
+                      .sentAt = now};
+    view.load.onSent(number, chosen.ownWork, now);
+    if (view.cache)
+        view.cache->use(description.prompt);
+    if (isCold)
+        m_coldLimiter.onSent(chosen.id, now);
+    const auto sharers = static_cast<int>(std::max<std::size_t>(
+        m_options.routers.members.size(), 1));
+    return placement {.target = chosen.id,
+                      .address = state.record.address,
+                      .dataCentre = state.record.dataCentre,
+                      .mostConnections
+                      = service->mostConnections == 0
+                            ? 0
+                            : std::max(service->mostConnections / sharers, 1),
+                      .isCold = isCold,
+                      .backlog = chosen.backlog,
+                      .work = chosen.ownWork,
+                      .missingTokens = options[best].missingTokens,
+                      .candidates = candidates.size()};
+}
+
+bool forwarding_node::trySpendRepeat(const std::string &service, absl::Time now)
+{
+    return m_repeats.trySpend(service, m_options.routers.members.size(), now);
+}
+
+void forwarding_node::onAnswerBegan(std::uint64_t number, const std::string &target,
+                                    absl::Time now)
+{
+    const auto open = m_open.find(number);
+    const auto view = m_views.find(target);
+    if (open == m_open.end() || view == m_views.end())
+        return;
+    view->second.load.onAnswerBegan(number, now);
+    const auto speed = m_speeds.find(open->second.service);
+    if (speed == m_speeds.end())
+        return;
+    const absl::Duration time = now - open->second.sentAt;
+    if (!open->second.isModelRequest)
+        speed->second.onAnswered(time);
+    else if (open->second.wasAlone)
+        speed->second.onPromptRead(open->second.missingTokens, time);
+}
+
+void forwarding_node::onEnded(std::uint64_t number, const std::string &target, exchange_end end,
+                              absl::Time now)
+{
+    m_open.erase(number);
+    const auto view = m_views.find(target);
+    if (view == m_views.end())
+        return;
+    target_load &load = view->second.load;
+    load.onEnded(number, now);
+    switch (end) {
+    case exchange_end::Answered:
+    case exchange_end::Cancelled:
+        break;
+    case exchange_end::FailedAnswer:
+        load.onFailure(failedAnswerWeight, now);
+        break;
+    case exchange_end::RefusedUnrun:
+        load.onFailure(refusalWeight, now);
+        break;
+    case exchange_end::NotSent:
+    case exchange_end::Lost:
+        load.onFailure(lostAnswerWeight, now);
+        break;
+    }
+}
+
+void forwarding_node::onReport(const std::string &target, const reported_load &report)
+{
+    if (const auto view = m_views.find(target); view != m_views.end())
+        view->second.load.onReport(report);
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/forwarding/node/forwarding_node.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "budgets/cold/cold_start_limiter.h"
+#include "budgets/retry/shared_retry_budget.h"
+#include "directory/target/target_directory.h"
+#include "forwarding/node/forwarding_types.h"
+#include "forwarding/node/service_speed.h"
+#include "forwarding/request/request_description.h"
+#include "forwarding/route/route_table.h"
+#include "placement/cache/prompt_cache_view.h"
+#include "placement/load/target_load.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace quetzal {
+
+/** Decides for each request of one router whether it is served, and by which target. */
+class forwarding_node
+{
+public:
+    explicit forwarding_node(forwarding_options options);
+
+    /** Puts a version of the configuration in force; false when it is not newer than the last. */
+    bool setRoutes(std::shared_ptr<const route_table> table);
+    const std::shared_ptr<const route_table> &routes() const { return m_table; }
+    void setRouters(router_group routers) { m_options.routers = std::move(routers); }
+    const router_group &routers() const { return m_options.routers; }
+
+    target_directory &directory() { return m_directory; }
+    const target_directory &directory() const { return m_directory; }
+    /** A record was written; wasListedAtStart: it stood in the first listing. */
+    void applyTarget(const target_record &record, bool wasListedAtStart, absl::Time now);
+    void removeTarget(const std::string &id, absl::Time now);
+    void setEvacuated(const absl::flat_hash_set<std::string> &dataCentres, absl::Time now);
+
+    /** Checks a request against the configuration in force. */
+    std::variant<admitted_request, rejection> admit(const request_description &request,
+                                                    absl::Time arrivedAt) const;
+    /** A request was admitted and counts for its service's budget of repeats. */
+    void onAdmitted(const admitted_request &request, absl::Time now);
+    /**
+     * Chooses a target and counts the request there under this number; the targets in excluded are
+     * passed over.
+     */
+    std::variant<placement, rejection> place(std::uint64_t number, const admitted_request &request,
+                                             const request_description &description,
+                                             const absl::flat_hash_set<std::string> &excluded,
+                                             absl::Time now);
+    /** Takes a repeat from the budget of the service; false when there is none. */
+    bool trySpendRepeat(const std::string &service, absl::Time now);
+
+    void onAnswerBegan(std::uint64_t number, const std::string &target, absl::Time now);
+    void onEnded(std::uint64_t number, const std::string &target, exchange_end end,
+                 absl::Time now);
+    void onReport(const std::string &target, const reported_load &report);
+
+private:
+    struct open_request
+    {
+        std::string service;
+        bool isModelRequest = false;
+        bool wasAlone = false;
+        std::int64_t missingTokens = 0;
+        absl::Time sentAt;
+    };
+    struct target_view
+    {
+        target_load load;
+        std::unique_ptr<prompt_cache_view> cache;
+    };
+    /** A candidate with what is needed once it is chosen. */
+    struct option
+    {
+        const target_state *state = nullptr;
+        std::int64_t missingTokens = 0;
+    };
+
+    target_view &viewOf(const std::string &target, const service_description &service);
+    service_speed &speedOf(const service_description &service);
+    int coldPermits(const service_description &service) const;
+    target_candidate candidateFor(const target_state &state, const service_description &service,
+                                  const request_description &description, option &choice,
+                                  absl::Time now);
+    rejection overloaded(absl::Duration backlog) const;
+
+    forwarding_options m_options;
+    std::shared_ptr<const route_table> m_table;
+    target_directory m_directory;
+    cold_start_limiter m_coldLimiter;
+    shared_retry_budget m_repeats;
+    absl::flat_hash_map<std::string, target_view> m_views;
+    absl::flat_hash_map<std::string, service_speed> m_speeds;
+    absl::flat_hash_map<std::uint64_t, open_request> m_open;
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/forwarding/node/forwarding_types.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "budgets/cold/cold_start_limiter.h"
+#include "budgets/retry/shared_retry_budget.h"
+#include "directory/target/target_record.h"
+#include "forwarding/route/route_table.h"
+#include "foundation/errors/result_code.h"
+#include "placement/choice/target_choice.h"
+
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace quetzal {
+
+/** Options of forwarding_node. */
+struct forwarding_options
+{
+    /** The data centre of this router. */
+    std::string dataCentre;
+    router_group routers;
+    retry_limits retries;
+    /** Requests a second that cold targets may get over what they bear, as a factor. */
+    double coldFactor = 1.0;
+    /** The same, as requests on top. */
+    double coldAllowance = 0.0;
+    choice_weights weights;
+    /** Work at the best target above which a request is rejected at once. */
+    absl::Duration mostBacklog = absl::Milliseconds(400);
+};
+
+/** A request that is answered by the router itself. */
+struct rejection
+{
+    int status = 0;
+    result_code code = result_code::Ok;
+    /** When the caller may come back; nothing when coming back is of no use. */
+    std::optional<absl::Duration> retryAfter;
+
+    bool operator==(const rejection &) const = default;
+};
+
+/** A request that the configuration allows. */
+struct admitted_request
+{
+    /** Keeps the route alive. */
+    std::shared_ptr<const route_table> table;
+    const route *rule = nullptr;
+    std::string service;
+    /** Empty when the request carries no known key. */
+    std::string workspace;
+    absl::Time arrivedAt;
+    /** When the final answer is due. */
+    absl::Time dueAt;
+};
+
+/** Where a request is sent, and what decided it. */
+struct placement
+{
+    std::string target;
+    network_address address;
+    std::string dataCentre;
+    /** Connections to the target that this router may have open. */
+    int mostConnections = 0;
+    bool isCold = false;
+    absl::Duration backlog;
+    absl::Duration work;
+    std::int64_t missingTokens = 0;
+    std::size_t candidates = 0;
+
+    bool operator==(const placement &) const = default;
+};
+
+/** How an exchange with a target ended. */
+enum class exchange_end
+{
+    Answered,
+    /** The target ran the request and answered with a failure of its own. */
+    FailedAnswer,
+    RefusedUnrun,
+    NotSent,
+    Lost,
+    /** The caller left, or the time was up. */
+    Cancelled,
+};
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/forwarding/request/attempt_rules.cpp
@@ -0,0 +1,56 @@
+#include "forwarding/request/attempt_rules.h"
+
+namespace quetzal {
+
+namespace {
+
+/** Targets that are tried without a byte sent before the request is rejected. */
+constexpr int mostUnsent = 4;
+/** Refusals without a run after which the request is rejected. */
+constexpr int mostRefused = 2;
+constexpr int statusBadGateway = 502;
+constexpr int statusUnavailable = 503;
+constexpr int statusGatewayTimeout = 504;
+
+} // namespace
+
+attempt_history after(const attempt_history &history, attempt_failure failure)
+{
+    attempt_history next = history;
+    switch (failure) {
+    case attempt_failure::NotSent:
+        ++next.unsent;
+        break;
+    case attempt_failure::RefusedUnrun:
+        ++next.refused;
+        break;
+    case attempt_failure::AnswerLost:
+    case attempt_failure::Failed:
+        ++next.mayHaveRun;
+        break;
+    }
+    return next;
+}
+
+bool mayTryAgain(const route &route, const attempt_history &history)
+{
+    if (history.unsent >= mostUnsent || history.refused >= mostRefused)
+        return false;
+    if (history.mayHaveRun == 0)
+        return true;
+    return route.isRepeatable() && history.mayHaveRun < route.mostAttempts;
+}
+
+bool needsBudget(const attempt_history &history)
+{
+    return history.refused + history.mayHaveRun > 0;
+}
+
+int finalStatus(const attempt_history &history, bool timedOut)
+{
+    if (history.isUnrun())
+        return statusUnavailable;
+    return timedOut ? statusGatewayTimeout : statusBadGateway;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/http/message/response_reader.cpp
@@ -0,0 +1,138 @@
+#include "http/message/response_reader.h"
+
+#include "http/message/field_collector.h"
+
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <limits>
+#include <utility>
+
+namespace quetzal {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t mostHeadBytes = 65536;
+constexpr int firstFinalStatus = 200;
+
+} // namespace
+
+class response_reader::parser : public http::basic_parser<false>
+{
+public:
+    response_head head;
+    std::string body;
+
+private:
+    void on_request_impl(http::verb, boost::string_view, boost::string_view, int,
+                         boost::system::error_code &) override
+    {
+    }
+    void on_response_impl(int status, boost::string_view reason, int,
+                          boost::system::error_code &) override
+    {
+        head.status = status;
+        head.reason.assign(reason.data(), reason.size());
+    }
+    void on_field_impl(http::field, boost::string_view name, boost::string_view value,
+                       boost::system::error_code &) override
+    {
+        addField(head.fields, name, value);
+    }
+    void on_header_impl(boost::system::error_code &) override { head.keepAlive = keep_alive(); }
+    void on_body_init_impl(const boost::optional<std::uint64_t> &,
+                           boost::system::error_code &) override
+    {
+    }
+    std::size_t on_body_impl(boost::string_view text, boost::system::error_code &) override
+    {
+        body.append(text.data(), text.size());
+        return text.size();
+    }
+    void on_chunk_header_impl(std::uint64_t, boost::string_view,
+                              boost::system::error_code &) override
+    {
+    }
+    std::size_t on_chunk_body_impl(std::uint64_t, boost::string_view text,
+                                   boost::system::error_code &) override
+    {
+        body.append(text.data(), text.size());
+        return text.size();
+    }
+    void on_finish_impl(boost::system::error_code &) override { }
+};
+
+response_reader::response_reader(bool isHead)
+    : m_isHead(isHead)
+{
+    reset();
+}
+
+response_reader::~response_reader() = default;
+response_reader::response_reader(response_reader &&) noexcept = default;
+response_reader &response_reader::operator=(response_reader &&) noexcept = default;
+
+void response_reader::reset()
+{
+    m_parser = std::make_unique<parser>();
+    m_parser->header_limit(mostHeadBytes);
+    m_parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    m_parser->eager(true);
+    m_parser->skip(m_isHead);
+}
+
+std::size_t response_reader::consume(std::string_view bytes)
+{
+    std::size_t used = 0;
+    while (!m_faulty && !isComplete() && used < bytes.size()) {
+        boost::system::error_code error;
+        const std::string_view rest = bytes.substr(used);
+        const std::size_t taken
+            = m_parser->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
+        used += taken;
+        if (error == http::error::need_more)
+            break;
+        m_faulty = static_cast<bool>(error);
+        if (isComplete() && m_parser->head.status < firstFinalStatus)
+            reset();
+        else if (taken == 0)
+            break;
+    }
+    return used;
+}
+
+void response_reader::consumeEnd()
+{
+    if (m_faulty || isComplete())
+        return;
+    if (!isHeadComplete()) {
+        m_faulty = true;
+        return;
+    }
+    boost::system::error_code error;
+    m_parser->put_eof(error);
+    m_faulty = static_cast<bool>(error) || !m_parser->is_done();
+}
+
+bool response_reader::isHeadComplete() const
+{
+    return m_parser->is_header_done();
+}
+
+bool response_reader::isComplete() const
+{
+    return m_parser->is_done();
+}
+
+const response_head &response_reader::head() const
+{
+    return m_parser->head;
+}
+
+std::string response_reader::takeBody()
+{
+    return std::exchange(m_parser->body, {});
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/placement/choice/target_choice.cpp
@@ -0,0 +1,36 @@
+#include "placement/choice/target_choice.h"
+
+namespace quetzal {
+
+absl::Duration costOf(const target_candidate &candidate, const choice_weights &weights)
+{
+    absl::Duration cost = candidate.backlog + candidate.ownWork;
+    if (!candidate.isHome)
+        cost += candidate.repeatedWork * weights.repeatedWork;
+    cost += candidate.overdue * weights.overdue;
+    cost += weights.failure * candidate.failures;
+    cost += weights.fullOccupancy * candidate.occupancy;
+    if (!candidate.isInOwnDataCentre)
+        cost += weights.otherDataCentre;
+    return cost;
+}
+
+std::optional<std::size_t> chooseTarget(const std::vector<target_candidate> &candidates,
+                                        const choice_weights &weights)
+{
+    std::optional<std::size_t> best;
+    absl::Duration bestCost = absl::InfiniteDuration();
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+        const absl::Duration cost = costOf(candidates[index], weights);
+        const bool isBetter = !best || cost < bestCost
+                              || (cost == bestCost
+                                  && candidates[index].affinity > candidates[*best].affinity);
+        if (!isBetter)
+            continue;
+        best = index;
+        bestCost = cost;
+    }
+    return best;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/modules/placement/load/target_load.cpp
@@ -0,0 +1,92 @@
+#include "placement/load/target_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace quetzal {
+
+namespace {
+
+/** After this time a failure counts half. */
+constexpr absl::Duration failureHalfLife = absl::Milliseconds(1500);
+/** What other routers told is used this long. */
+constexpr absl::Duration remoteLifetime = absl::Seconds(1);
+
+} // namespace
+
+absl::Duration target_load::unansweredWork() const
+{
+    absl::Duration sum;
+    for (const auto &[id, request] : m_requests) {
+        if (!request.answerBegan)
+            sum += request.work;
+    }
+    return sum;
+}
+
+void target_load::onSent(std::uint64_t request, absl::Duration work, absl::Time now)
+{
+    m_busyUntil = std::max(m_busyUntil, now) + work;
+    m_requests[request] = {.work = work, .expectedAnswer = m_busyUntil};
+}
+
+void target_load::onAnswerBegan(std::uint64_t request, absl::Time now)
+{
+    const auto found = m_requests.find(request);
+    if (found == m_requests.end() || found->second.answerBegan)
+        return;
+    found->second.answerBegan = true;
+    m_busyUntil = std::min(m_busyUntil, now + unansweredWork());
+}
+
+void target_load::onEnded(std::uint64_t request, absl::Time now)
+{
+    m_requests.erase(request);
+    m_busyUntil = std::min(m_busyUntil, now + unansweredWork());
+}
+
+void target_load::onFailure(double weight, absl::Time now)
+{
+    m_failures = failures(now) + weight;
+    m_failuresAt = now;
+}
+
+void target_load::setRemoteBacklog(absl::Duration backlog, int inFlight, absl::Time now)
+{
+    m_remoteBacklog = backlog;
+    m_remoteInFlight = inFlight;
+    m_remoteAt = now;
+}
+
+absl::Duration target_load::backlog(absl::Time now) const
+{
+    absl::Duration own = std::max(m_busyUntil - now, absl::ZeroDuration());
+    own = std::min(own, unansweredWork());
+    const absl::Duration age = now - m_remoteAt;
+    if (age > remoteLifetime)
+        return own;
+    return own + std::max(m_remoteBacklog - age, absl::ZeroDuration());
+}
+
+absl::Duration target_load::overdue(absl::Time now) const
+{
+    for (const auto &[id, request] : m_requests) {
+        if (!request.answerBegan)
+            return std::max(now - request.expectedAnswer, absl::ZeroDuration());
+    }
+    return absl::ZeroDuration();
+}
+
+double target_load::failures(absl::Time now) const
+{
+    if (m_failures == 0.0)
+        return 0.0;
+    return m_failures * std::exp2(-absl::FDivDuration(now - m_failuresAt, failureHalfLife));
+}
+
+int target_load::inFlightOfAll(absl::Time now) const
+{
+    return inFlight() + (now - m_remoteAt > remoteLifetime ? 0 : m_remoteInFlight);
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/tests/http/request_reader_test.cpp
@@ -0,0 +1,119 @@
+#include "http/http.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <string_view>
+
+using namespace quetzal;
+
+namespace {
+
+request_reader readAll(std::string_view bytes)
+{
+    request_reader reader({.headBytes = 400, .bodyBytes = 20});
+    std::string input;
+    for (const char byte : bytes) {
+        input += byte;
+        input.erase(0, reader.consume(input));
+    }
+    return reader;
+}
+
+request_fault faultOf(std::string_view bytes)
+{
+    return readAll(bytes).fault();
+}
+
+} // namespace
+
+TEST_CASE("a request is read as it arrives", "[http]")
+{
+    SECTION("without a body")
+    {
+        const request_reader reader = readAll("GET /a/b?c HTTP/1.1\r\nHost: h\r\nX-A: 1\r\n\r\n");
+        CHECK(reader.isComplete());
+        CHECK(reader.head().method == "GET");
+        CHECK(reader.head().target == "/a/b?c");
+        CHECK(reader.head().fields.valueOf("x-a") == "1");
+        CHECK(reader.head().keepAlive);
+    }
+
+    SECTION("with a length")
+    {
+        const request_reader reader
+            = readAll("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello");
+        CHECK(reader.isComplete());
+        CHECK(reader.body() == "hello");
+    }
+
+    SECTION("in chunks")
+    {
+        const request_reader reader = readAll(
+            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        CHECK(reader.isComplete());
+        CHECK(reader.body() == "abc");
+    }
+
+    SECTION("bytes of the next request are left")
+    {
+        request_reader reader({});
+        const std::string_view bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /next";
+        CHECK(reader.consume(bytes) == bytes.size() - 9);
+        CHECK(reader.isComplete());
+    }
+}
+
+TEST_CASE("a request that two parsers could read differently is malformed", "[http]")
+{
+    const std::string post = "POST / HTTP/1.1\r\nHost: h\r\n";
+    const auto malformed = request_fault::Malformed;
+
+    SECTION("a length beside chunks")
+    {
+        CHECK(faultOf(post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n")
+              == malformed);
+        CHECK(faultOf(post + "Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n")
+              == malformed);
+    }
+    SECTION("lengths that are repeated, listed or signed")
+    {
+        CHECK(faultOf(post + "Content-Length: 3\r\nContent-Length: 3\r\n\r\n") == malformed);
+        CHECK(faultOf(post + "Content-Length: 3, 3\r\n\r\n") == malformed);
+        CHECK(faultOf(post + "Content-Length: +3\r\n\r\n") == malformed);
+    }
+    SECTION("codings other than chunked")
+    {
+        CHECK(faultOf(post + "Transfer-Encoding: xchunked\r\n\r\n") == malformed);
+        CHECK(faultOf(post + "Transfer-Encoding: gzip, chunked\r\n\r\n") == malformed);
+        CHECK(faultOf(post + "Transfer-Encoding: identity\r\n\r\n") == malformed);
+    }
+    SECTION("folded fields and spaces before the colon")
+    {
+        CHECK(faultOf(post + "X-A: 1\r\n 2\r\n\r\n") == malformed);
+        CHECK(faultOf(post + "X-A : 1\r\n\r\n") == malformed);
+    }
+    SECTION("no host, or two")
+    {
+        CHECK(faultOf("GET / HTTP/1.1\r\n\r\n") == malformed);
+        CHECK(faultOf(post + "Host: other\r\n\r\n") == malformed);
+    }
+}
+
+TEST_CASE("a request over a limit is refused by its part", "[http]")
+{
+    SECTION("a long head")
+    {
+        const std::string longField(500, 'a');
+        CHECK(faultOf("GET / HTTP/1.1\r\nHost: h\r\nX-A: " + longField + "\r\n\r\n")
+              == request_fault::HeadTooLarge);
+    }
+    SECTION("a long body, by its length and by its chunks")
+    {
+        CHECK(faultOf("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 21\r\n\r\n")
+              == request_fault::BodyTooLarge);
+        CHECK(faultOf("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "15\r\n012345678901234567890\r\n0\r\n\r\n")
+              == request_fault::BodyTooLarge);
+    }
+}
--- /dev/null
+++ b/tests/http/response_reader_test.cpp
@@ -0,0 +1,77 @@
+#include "http/http.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <string_view>
+
+using namespace quetzal;
+
+TEST_CASE("a response is read as it arrives", "[http]")
+{
+    response_reader reader;
+
+    SECTION("with a length, byte by byte")
+    {
+        const std::string bytes
+            = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: 5\r\n\r\nhello";
+        std::string input;
+        for (const char byte : bytes) {
+            input += byte;
+            input.erase(0, reader.consume(input));
+        }
+        CHECK(reader.isComplete());
+        CHECK(reader.head().status == 200);
+        CHECK(reader.takeBody() == "hello");
+        CHECK(reader.head().keepAlive);
+    }
+
+    SECTION("in one piece, with bytes of another message behind it")
+    {
+        const std::string_view bytes = "HTTP/1.1 503 Busy\r\nContent-Length: 2\r\n\r\nnoHTTP";
+        CHECK(reader.consume(bytes) == bytes.size() - 4);
+        CHECK(reader.isComplete());
+        CHECK(reader.takeBody() == "no");
+    }
+
+    SECTION("in chunks")
+    {
+        const std::string_view bytes
+            = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        CHECK(reader.consume(bytes) == bytes.size());
+        CHECK(reader.isComplete());
+        CHECK(reader.takeBody() == "abcde");
+    }
+
+    SECTION("without a length it ends with its connection")
+    {
+        reader.consume("HTTP/1.1 200 OK\r\n\r\nall of it");
+        CHECK_FALSE(reader.isComplete());
+        reader.consumeEnd();
+        CHECK(reader.isComplete());
+        CHECK(reader.takeBody() == "all of it");
+    }
+
+    SECTION("with a length it is faulty when the connection ends early")
+    {
+        reader.consume("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall");
+        reader.consumeEnd();
+        CHECK(reader.isFaulty());
+        CHECK_FALSE(reader.isComplete());
+    }
+
+    SECTION("bytes that are no response are a fault")
+    {
+        reader.consume("nonsense\r\n\r\n");
+        CHECK(reader.isFaulty());
+    }
+
+    SECTION("an interim response is passed over")
+    {
+        const std::string_view bytes
+            = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        reader.consume(bytes);
+        CHECK(reader.isComplete());
+        CHECK(reader.head().status == 200);
+    }
+}
