Routers tell each other their work; requests are rejected by waiting work and by share

Change: a digest in one datagram each 100 ms (work and requests by target, tokens asked and got by workspace, shared parts placed); a part that is held elsewhere counts ten times its reading time; a request is rejected when the work at its best engine is above its route's aim, or above a quarter of it when its workspace already had its max-min share of the capacity within four seconds.

--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -171,7 +171,7 @@
     m_context.heldBytes -= std::exchange(m_heldBytes, 0);
 }
 
-void caller_connection::send(std::string bytes)
+void caller_connection::send(const std::string &bytes)
 {
     if (m_isClosed)
         return;
--- a/apps/edge/caller_connection.h
+++ b/apps/edge/caller_connection.h
@@ -25,7 +25,7 @@
 
     void start();
     /** Writes bytes of the answer under way. */
-    void send(std::string bytes);
+    void send(const std::string &bytes);
     /** The answer is complete; close: no further request is read. */
     void finishAnswer(bool close);
     /** Breaks the connection off, so that an answer under way does not look complete. */
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -3,6 +3,8 @@
 #include "apps/edge/edge_clock.h"
 #include "platform/platform.h"
 
+#include <absl/time/clock.h>
+
 #include <algorithm>
 #include <chrono>
 #include <csignal>
@@ -41,14 +43,15 @@
                         .ratio = settings.retryRatio,
                         .allowance = settings.retryAllowance},
             .coldFactor = settings.coldFactor * coldSafety,
-            .coldAllowance = settings.coldAllowance * coldSafety};
+            .coldAllowance = settings.coldAllowance * coldSafety,
+            .life = static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now()))};
 }
 
 std::size_t mostHeldBytes(const edge_settings &settings)
 {
     const std::size_t megabytes = settings.memoryMegabytes > 0
-                                      ? static_cast<std::size_t>(settings.memoryMegabytes)
-                                      : usualMemoryMegabytes;
+        ? static_cast<std::size_t>(settings.memoryMegabytes)
+        : usualMemoryMegabytes;
     return megabytes * bytesPerMegabyte / heldMemoryPart;
 }
 
@@ -68,20 +71,27 @@
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
     , m_timer(m_loop)
     , m_configuration(m_loop, m_log, m_settings.store, platform::operatorPrefix,
-                      {.onChanges = [this](const auto &changes,
-                                           bool) { onConfiguration(changes); }})
-    , m_targets(m_loop, m_log, m_settings.store, platform::targetPrefix,
-                {.onChanges = [this](const auto &changes,
-                                     bool first) { onTargets(changes, first); },
-                 .onTouch =
-                     [this](bool inTouch) {
-                         if (inTouch)
-                             m_node.directory().onListBack(edgeNow());
-                         else
-                             m_node.directory().onListLost(edgeNow());
-                     }})
+                      {.onChanges =
+                           [this](const auto &changes, bool) {
+                               onConfiguration(changes);
+                           }})
+    , m_targets(
+          m_loop, m_log, m_settings.store, platform::targetPrefix,
+          {.onChanges = [this](const auto &changes, bool first) { onTargets(changes, first); },
+           .onTouch =
+               [this](bool inTouch) {
+                   if (inTouch)
+                       m_node.directory().onListBack(edgeNow());
+                   else
+                       m_node.directory().onListLost(edgeNow());
+               }})
     , m_members(m_loop, m_log, m_settings.store, memberPrefix,
-                {.onChanges = [this](const auto &, bool) { onMembers(); }})
+                {.onChanges =
+                     [this](const auto &, bool) {
+                         onMembers();
+                     }})
+    , m_peers(m_loop, m_node,
+              {.host = m_settings.callers.host, .port = m_settings.firstInternalPort})
     , m_announcer(m_loop, m_settings.store)
     , m_callers(m_loop, m_settings.callers, [this](auto socket) { onCaller(std::move(socket)); })
     , m_readiness(m_loop, m_settings.readiness,
@@ -91,11 +101,13 @@
                           [this](const std::string &path) { return statusPage(path); })
                           ->start();
                   })
-    , m_metrics(m_loop, {.host = m_settings.callers.host, .port = metricsPort}, [this](auto socket) {
-        std::make_shared<status_connection>(
-            m_loop, std::move(socket), [this](const std::string &path) { return statusPage(path); })
-            ->start();
-    })
+    , m_metrics(m_loop, {.host = m_settings.callers.host, .port = metricsPort},
+                [this](auto socket) {
+                    std::make_shared<status_connection>(
+                        m_loop, std::move(socket),
+                        [this](const std::string &path) { return statusPage(path); })
+                        ->start();
+                })
 {
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -109,6 +121,7 @@
     m_configuration.start();
     m_targets.start();
     m_members.start();
+    m_peers.start();
     tick();
     m_loop.run();
     m_log.line("stopped").number("openConnections",
@@ -143,8 +156,7 @@
                 .number("revision", change.revision)
                 .flag("inForce", taken);
         }
-        evacuationChanged
-            = evacuationChanged || !platform::evacuatedDataCentre(change.key).empty();
+        evacuationChanged = evacuationChanged || !platform::evacuatedDataCentre(change.key).empty();
     }
     if (!evacuationChanged)
         return;
@@ -187,12 +199,16 @@
 void edge_process::onMembers()
 {
     router_group group {.self = m_settings.vm, .members = {m_settings.vm}};
+    std::vector<std::string> hosts;
     const std::string_view prefix = memberPrefix;
     for (const stored_item &item : m_members.follower().mirror().items()) {
         const std::string name = item.key.substr(prefix.size());
-        if (name != m_settings.vm)
-            group.members.push_back(name);
+        if (name == m_settings.vm)
+            continue;
+        group.members.push_back(name);
+        hosts.push_back(item.value);
     }
+    m_peers.setPeers(std::move(hosts));
     m_log.line("routers").number("count", static_cast<std::int64_t>(group.members.size()));
     m_node.setRouters(std::move(group));
 }
@@ -239,8 +255,8 @@
         return;
     m_stopBegan = edgeNow();
     m_context.isStopping = true;
-    m_log.line("stopping").number("openConnections",
-                                  static_cast<std::int64_t>(m_connections.size()));
+    m_log.line("stopping")
+        .number("openConnections", static_cast<std::int64_t>(m_connections.size()));
 }
 
 void edge_process::tick()
@@ -274,7 +290,7 @@
 bool edge_process::isReady() const
 {
     return !m_stopBegan && m_node.routes() && m_targets.follower().mirror().isComplete()
-           && m_members.follower().mirror().isComplete();
+        && m_members.follower().mirror().isComplete();
 }
 
 status_page edge_process::statusPage(const std::string &path) const
@@ -300,6 +316,8 @@
     add("callers_gone_total", counts.callersGone);
     add("sends_total", counts.sends);
     add("target_connections_total", m_pool.opened());
+    add("digests_sent_total", m_peers.sent());
+    add("digests_received_total", m_peers.received());
     add("log_lines_dropped_total", static_cast<std::int64_t>(m_log.dropped()));
     return text;
 }
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -4,6 +4,7 @@
 #include "apps/edge/edge_context.h"
 #include "apps/edge/listener.h"
 #include "apps/edge/mirror_session.h"
+#include "apps/edge/peer_exchange.h"
 #include "apps/edge/status_connection.h"
 #include "forwarding/settings/edge_settings.h"
 
@@ -55,6 +56,7 @@
     mirror_session m_configuration;
     mirror_session m_targets;
     mirror_session m_members;
+    peer_exchange m_peers;
     http_client m_announcer;
     bool m_isAnnouncing = false;
     bool m_isAnnounced = false;
--- a/apps/edge/event_log.cpp
+++ b/apps/edge/event_log.cpp
@@ -2,10 +2,9 @@
 
 #include <absl/time/clock.h>
 
+#include <chrono>
 #include <fcntl.h>
 #include <unistd.h>
-
-#include <chrono>
 #include <utility>
 
 namespace quetzal {
--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -59,13 +59,14 @@
     const std::string &prefix = m_follower.mirror().prefix();
     const bool isWatch = step.what == follower_step::action::Watch;
     const platform::store_call call = isWatch
-                                          ? platform::watchCall(prefix, step.revision, watchWait)
-                                          : platform::listCall(prefix, step.afterKey);
-    m_client.call({.method = call.method,
-                   .target = call.target,
-                   .body = call.body,
-                   .timeout = isWatch ? watchWait + callTimeout : listTimeout},
-                  [this, step](const std::optional<http_result> &result) { onResult(step, result); });
+        ? platform::watchCall(prefix, step.revision, watchWait)
+        : platform::listCall(prefix, step.afterKey);
+    m_client.call(
+        {.method = call.method,
+         .target = call.target,
+         .body = call.body,
+         .timeout = isWatch ? watchWait + callTimeout : listTimeout},
+        [this, step](const std::optional<http_result> &result) { onResult(step, result); });
 }
 
 void mirror_session::onResult(const follower_step &step, const std::optional<http_result> &result)
--- /dev/null
+++ b/apps/edge/peer_exchange.cpp
@@ -0,0 +1,90 @@
+#include "apps/edge/peer_exchange.h"
+
+#include "apps/edge/edge_clock.h"
+#include "exchange/digest/digest_codec.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace quetzal {
+
+using boost::asio::ip::udp;
+using boost::system::error_code;
+
+namespace {
+
+constexpr std::chrono::milliseconds shortestInterval {100};
+/** With many routers each sends less often, so that all of them together cost one router this. */
+constexpr std::chrono::milliseconds intervalPerPeer {15};
+
+udp::endpoint endpointAt(const std::string &host, std::uint16_t port)
+{
+    error_code error;
+    return {boost::asio::ip::make_address_v4(host, error), port};
+}
+
+} // namespace
+
+peer_exchange::peer_exchange(boost::asio::io_context &loop, forwarding_node &node,
+                             const network_address &address)
+    : m_socket(loop, endpointAt(address.host, address.port))
+    , m_timer(loop)
+    , m_node(node)
+    , m_port(address.port)
+{
+    m_socket.non_blocking(true);
+}
+
+void peer_exchange::start()
+{
+    receive();
+    scheduleSend();
+}
+
+void peer_exchange::receive()
+{
+    m_socket.async_receive(boost::asio::buffer(m_buffer),
+                           [this](const error_code &error, std::size_t bytes) {
+                               if (error == boost::asio::error::operation_aborted)
+                                   return;
+                               if (!error)
+                                   onDatagram(bytes);
+                               receive();
+                           });
+}
+
+void peer_exchange::onDatagram(std::size_t bytes)
+{
+    const auto digest = decodeDigest({m_buffer.data(), bytes});
+    if (!digest)
+        return;
+    ++m_received;
+    m_node.onDigest(*digest, edgeNow());
+}
+
+void peer_exchange::scheduleSend()
+{
+    const auto peers = static_cast<int>(m_peers.size());
+    m_timer.expires_after(std::max(shortestInterval, intervalPerPeer * peers));
+    m_timer.async_wait([this](const error_code &error) {
+        if (error)
+            return;
+        sendDigest();
+        scheduleSend();
+    });
+}
+
+void peer_exchange::sendDigest()
+{
+    if (m_peers.empty())
+        return;
+    const std::string bytes = encodeDigest(m_node.makeDigest(edgeNow()));
+    for (const std::string &host : m_peers) {
+        error_code lost;
+        m_socket.send_to(boost::asio::buffer(bytes), endpointAt(host, m_port), 0, lost);
+        if (!lost)
+            ++m_sent;
+    }
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/edge/peer_exchange.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "directory/target/target_record.h"
+#include "forwarding/node/forwarding_node.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace quetzal {
+
+/** Sends this router's digests to the others and receives theirs, as datagrams. */
+class peer_exchange
+{
+public:
+    /** Throws std::system_error when the address can't be bound. */
+    peer_exchange(boost::asio::io_context &loop, forwarding_node &node,
+                  const network_address &address);
+
+    void start();
+    /** Replaces the hosts of the other routers. */
+    void setPeers(std::vector<std::string> hosts) { m_peers = std::move(hosts); }
+    std::int64_t sent() const { return m_sent; }
+    std::int64_t received() const { return m_received; }
+
+private:
+    void receive();
+    void onDatagram(std::size_t bytes);
+    void scheduleSend();
+    void sendDigest();
+
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    forwarding_node &m_node;
+    std::uint16_t m_port;
+    std::vector<std::string> m_peers;
+    std::array<char, 16384> m_buffer {};
+    std::int64_t m_sent = 0;
+    std::int64_t m_received = 0;
+};
+
+} // namespace quetzal
--- a/apps/edge/request_run.cpp
+++ b/apps/edge/request_run.cpp
@@ -73,7 +73,7 @@
         return;
     }
     m_admitted = std::get<admitted_request>(std::move(admission));
-    m_context.node.onAdmitted(*m_admitted, now);
+    m_context.node.onAdmitted(*m_admitted, m_description, now);
     m_timer.expires_after(absl::ToChronoNanoseconds(m_admitted->dueAt - now));
     const std::weak_ptr<request_run> weak = weak_from_this();
     m_timer.async_wait([weak](const error_code &error) {
@@ -87,8 +87,7 @@
 void request_run::place()
 {
     const absl::Time now = edgeNow();
-    auto decision
-        = m_context.node.place(m_number, *m_admitted, m_description, m_excluded, now);
+    auto decision = m_context.node.place(m_number, *m_admitted, m_description, m_excluded, now);
     if (const auto *reason = std::get_if<rejection>(&decision)) {
         if (m_history.isUnrun())
             reject(*reason);
@@ -131,48 +130,48 @@
         return;
     }
     ++m_context.counts.sends;
-    const request_head head
-        = platform::toTarget(m_head, {.target = where.target,
-                                      .workspace = m_admitted->workspace,
-                                      .timeLeft = m_admitted->dueAt - now,
-                                      .lastEventId = {}});
+    const request_head head = platform::toTarget(m_head,
+                                                 {.target = where.target,
+                                                  .workspace = m_admitted->workspace,
+                                                  .timeLeft = m_admitted->dueAt - now,
+                                                  .lastEventId = {}});
     const bool hasBody = !m_body.empty() || m_head.fields.find("Content-Length") != nullptr
-                         || m_head.fields.find("Transfer-Encoding") != nullptr;
+        || m_head.fields.find("Transfer-Encoding") != nullptr;
     std::string bytes = toBytes(head, hasBody ? std::optional(m_body.size()) : std::nullopt);
     bytes += m_body;
     const std::weak_ptr<request_run> weak = weak_from_this();
-    m_connection->start(
-        std::move(bytes), m_head.method == "HEAD",
-        {.onHead =
-             [weak](const response_head &answer) {
-                 const auto self = weak.lock();
-                 return self ? self->onHead(answer) : answer_use::Abandon;
-             },
-         .onBody =
-             [weak](std::string text) {
-                 if (const auto self = weak.lock())
-                     self->onBody(std::move(text));
-             },
-         .onComplete =
-             [weak] {
-                 if (const auto self = weak.lock())
-                     self->onComplete();
-             },
-         .onFailed =
-             [weak](bool sent) {
-                 if (const auto self = weak.lock())
-                     self->onFailed(sent);
-             }});
+    m_connection->start(std::move(bytes), m_head.method == "HEAD",
+                        {.onHead =
+                             [weak](const response_head &answer) {
+                                 const auto self = weak.lock();
+                                 return self ? self->onHead(answer) : answer_use::Abandon;
+                             },
+                         .onBody =
+                             [weak](std::string text) {
+                                 if (const auto self = weak.lock())
+                                     self->onBody(std::move(text));
+                             },
+                         .onComplete =
+                             [weak] {
+                                 if (const auto self = weak.lock())
+                                     self->onComplete();
+                             },
+                         .onFailed =
+                             [weak](bool sent) {
+                                 if (const auto self = weak.lock())
+                                     self->onFailed(sent);
+                             }});
 }
 
 answer_use request_run::onHead(const response_head &head)
 {
     m_answer = platform::describeAnswer(head);
     if (m_answer.running)
-        m_context.node.onReport(m_target, {.running = *m_answer.running,
-                                           .waiting = m_answer.waiting,
-                                           .slots = m_answer.slots,
-                                           .at = edgeNow()});
+        m_context.node.onReport(m_target,
+                                {.running = *m_answer.running,
+                                 .waiting = m_answer.waiting,
+                                 .slots = m_answer.slots,
+                                 .at = edgeNow()});
     const bool isOurs = m_answer.requestId == m_description.id;
     if (!isOurs && !(m_answer.requestId.empty() && m_answer.isUnrun)) {
         m_context.log.line("answer_mismatched")
@@ -187,8 +186,7 @@
     if (m_answer.isSuccess() && (!m_answer.isSigned || m_answer.isEncoded))
         return answer_use::Abandon;
     m_answerHead = head;
-    const bool isStream
-        = m_answer.isSuccess() && m_admitted->rule->kind == request_kind::Stream;
+    const bool isStream = m_answer.isSuccess() && m_admitted->rule->kind == request_kind::Stream;
     m_relay = isStream ? relay::StreamPending : relay::Whole;
     if (!isStream && !m_answer.isUnrun) {
         m_answerBegan = true;
@@ -197,7 +195,7 @@
     return answer_use::Accept;
 }
 
-void request_run::onBody(std::string text)
+void request_run::onBody(const std::string &text)
 {
     if (m_relay == relay::Whole) {
         m_answerBody += text;
@@ -233,8 +231,8 @@
 
 void request_run::onComplete()
 {
-    const bool mayRepeatFailure = m_answer.status >= statusServerError && !m_answer.isUnrun
-                                  && m_relay == relay::Whole;
+    const bool mayRepeatFailure
+        = m_answer.status >= statusServerError && !m_answer.isUnrun && m_relay == relay::Whole;
     if (m_answer.isUnrun) {
         m_excluded.insert(m_target);
         if (m_answer.isFromOtherTarget)
@@ -248,7 +246,7 @@
         releaseTarget(exchange_end::FailedAnswer);
         const attempt_history next = after(m_history, attempt_failure::Failed);
         const bool isWorthIt = mayTryAgain(*m_admitted->rule, next)
-                               && m_context.node.trySpendRepeat(m_admitted->service, edgeNow());
+            && m_context.node.trySpendRepeat(m_admitted->service, edgeNow());
         m_history = next;
         if (isWorthIt) {
             place();
@@ -286,9 +284,9 @@
     if (!caller)
         return;
     const bool close = !caller->mayStayOpen();
-    caller->send(toBytes(platform::toCaller(m_answerHead),
-                         {.length = m_answerBody.size(), .close = close})
-                 + m_answerBody);
+    caller->send(
+        toBytes(platform::toCaller(m_answerHead), {.length = m_answerBody.size(), .close = close})
+        + m_answerBody);
     caller->finishAnswer(close);
 }
 
@@ -331,10 +329,8 @@
         .number("failure", static_cast<int>(failure))
         .number("ageMs", absl::ToInt64Milliseconds(age()));
     const absl::Time now = edgeNow();
-    const bool mayPlace
-        = now < m_admitted->dueAt && mayTryAgain(*m_admitted->rule, m_history)
-          && (!needsBudget(m_history)
-              || m_context.node.trySpendRepeat(m_admitted->service, now));
+    const bool mayPlace = now < m_admitted->dueAt && mayTryAgain(*m_admitted->rule, m_history)
+        && (!needsBudget(m_history) || m_context.node.trySpendRepeat(m_admitted->service, now));
     if (mayPlace)
         place();
     else
--- a/apps/edge/request_run.h
+++ b/apps/edge/request_run.h
@@ -45,7 +45,7 @@
     void place();
     void send(const placement &where);
     answer_use onHead(const response_head &head);
-    void onBody(std::string text);
+    void onBody(const std::string &text);
     void onComplete();
     void onFailed(bool sent);
     void onDue();
--- a/apps/edge/target_connection.cpp
+++ b/apps/edge/target_connection.cpp
@@ -124,16 +124,17 @@
             const answer_use use = m_callbacks.onHead(m_reader.head());
             if (!m_isBusy)
                 return;
-            if (use == answer_use::Abandon || (use == answer_use::Skip && ++m_skipped > mostSkipped)) {
+            if (use == answer_use::Abandon
+                || (use == answer_use::Skip && ++m_skipped > mostSkipped)) {
                 fail();
                 return;
             }
             m_headTold = use == answer_use::Accept;
             m_isSkipping = use == answer_use::Skip;
         }
-        std::string body = m_reader.takeBody();
+        const std::string body = m_reader.takeBody();
         if (m_headTold && !body.empty())
-            m_callbacks.onBody(std::move(body));
+            m_callbacks.onBody(body);
         if (!m_isBusy)
             return;
         if (!m_reader.isComplete())
@@ -172,9 +173,9 @@
         fail();
         return;
     }
-    std::string body = m_reader.takeBody();
+    const std::string body = m_reader.takeBody();
     if (!body.empty())
-        m_callbacks.onBody(std::move(body));
+        m_callbacks.onBody(body);
     if (m_isBusy)
         complete(true);
 }
--- a/apps/edge/target_connection.h
+++ b/apps/edge/target_connection.h
@@ -29,7 +29,7 @@
 struct exchange_callbacks
 {
     std::function<answer_use(const response_head &)> onHead;
-    std::function<void(std::string body)> onBody;
+    std::function<void(const std::string &body)> onBody;
     std::function<void()> onComplete;
     /** sent: bytes of the request may have reached the target. */
     std::function<void(bool sent)> onFailed;
--- a/apps/edge/target_pool.cpp
+++ b/apps/edge/target_pool.cpp
@@ -55,9 +55,8 @@
     connection->setOnClosed([weak = std::weak_ptr(target)] {
         if (const auto owner = weak.lock()) {
             --owner->open;
-            std::erase_if(owner->idle, [](const idle_connection &entry) {
-                return !entry.connection->isOpen();
-            });
+            std::erase_if(owner->idle,
+                          [](const idle_connection &entry) { return !entry.connection->isOpen(); });
         }
     });
     return connection;
--- a/modules/budgets/cold/cold_start_limiter.cpp
+++ b/modules/budgets/cold/cold_start_limiter.cpp
@@ -14,10 +14,10 @@
     if (rest == 0)
         return whole;
     const std::uint64_t own = rendezvousWeight(key, group.self);
-    const auto ahead = std::count_if(
-        group.members.begin(), group.members.end(), [&](const std::string &member) {
-            return member != group.self && rendezvousWeight(key, member) > own;
-        });
+    const auto ahead
+        = std::count_if(group.members.begin(), group.members.end(), [&](const std::string &member) {
+              return member != group.self && rendezvousWeight(key, member) > own;
+          });
     return whole + (ahead < rest ? 1 : 0);
 }
 
--- a/modules/budgets/cold/cold_start_limiter.h
+++ b/modules/budgets/cold/cold_start_limiter.h
@@ -24,8 +24,8 @@
 /**
  * The part of a whole number of permits that falls to one router.
  *
- * All routers get the same whole part; the rest goes to those with the highest rendezvous weight for
- * the key, so that routers with the same list agree without a message.
+ * All routers get the same whole part; the rest goes to those with the highest rendezvous weight
+ * for the key, so that routers with the same list agree without a message.
  */
 int shareOf(int permits, const std::string &key, const router_group &group);
 
--- a/modules/budgets/retry/shared_retry_budget.cpp
+++ b/modules/budgets/retry/shared_retry_budget.cpp
@@ -12,8 +12,9 @@
 shared_retry_budget::account &shared_retry_budget::accountOf(const std::string &service)
 {
     return m_accounts
-        .try_emplace(service, account {.requests = sliding_counter(m_limits.window),
-                                       .repeats = sliding_counter(m_limits.window)})
+        .try_emplace(service,
+                     account {.requests = sliding_counter(m_limits.window),
+                              .repeats = sliding_counter(m_limits.window)})
         .first->second;
 }
 
--- a/modules/directory/mirror/prefix_mirror.cpp
+++ b/modules/directory/mirror/prefix_mirror.cpp
@@ -51,7 +51,7 @@
     for (const stored_item &item : items) {
         listed.insert(item.key);
         const bool isResurrected = at < m_revision && item.revision <= m_revision
-                                   && !m_entries.contains(item.key) && m_complete;
+            && !m_entries.contains(item.key) && m_complete;
         if (!isResurrected)
             changes.push_back({.key = item.key, .value = item.value, .revision = item.revision});
     }
--- a/modules/directory/mirror/prefix_mirror.h
+++ b/modules/directory/mirror/prefix_mirror.h
@@ -34,8 +34,8 @@
  * A copy of all keys below one prefix, from listings and changes that may arrive late, out of order
  * or from several sources.
  *
- * Each key only moves to higher revisions. A listing removes a key only when it is newer than what is
- * known of it.
+ * Each key only moves to higher revisions. A listing removes a key only when it is newer than what
+ * is known of it.
  */
 class prefix_mirror
 {
--- a/modules/directory/target/target_directory.cpp
+++ b/modules/directory/target/target_directory.cpp
@@ -68,7 +68,7 @@
 {
     for (auto &[id, state] : m_targets) {
         const bool isBack = m_evacuated.contains(state.record.dataCentre)
-                            && !dataCentres.contains(state.record.dataCentre);
+            && !dataCentres.contains(state.record.dataCentre);
         const auto cold = coldStarts.find(state.record.service);
         if (isBack && cold != coldStarts.end())
             state.coldUntil = std::max(state.coldUntil, now + cold->second);
@@ -79,7 +79,7 @@
 bool target_directory::mayReceive(const target_state &state, absl::Time now) const
 {
     return !state.record.isLeaving && !state.isReplaced && now < state.lapsesAt
-           && !m_evacuated.contains(state.record.dataCentre);
+        && !m_evacuated.contains(state.record.dataCentre);
 }
 
 std::vector<const target_state *> target_directory::usable(const std::string &service,
--- a/modules/directory/target/target_directory.h
+++ b/modules/directory/target/target_directory.h
@@ -44,8 +44,8 @@
     /** The list can be read again. */
     void onListBack(absl::Time now);
     /**
-     * A record was written. coldStart: how long a new life of a target is cold when it appears after
-     * the first listing; zero when it is not known to be new.
+     * A record was written. coldStart: how long a new life of a target is cold when it appears
+     * after the first listing; zero when it is not known to be new.
      */
     void apply(const target_record &record, absl::Duration coldStart, absl::Time now);
     /** The record of a target was removed, or can't be read any more. */
--- /dev/null
+++ b/modules/exchange/view/fleet_view.cpp
@@ -0,0 +1,69 @@
+#include "exchange/view/fleet_view.h"
+
+#include <absl/container/flat_hash_set.h>
+
+#include <algorithm>
+
+namespace quetzal {
+
+bool fleet_view::apply(const load_digest &digest, absl::Time now)
+{
+    heard_digest &known = m_heard[digest.vm];
+    if (digest.life == known.life && digest.sequence <= known.sequence)
+        return false;
+    known = {.life = digest.life, .sequence = digest.sequence, .at = now};
+    for (const target_digest &entry : digest.targets)
+        known.targets[entry.target] = entry;
+    for (const workspace_digest &entry : digest.workspaces)
+        known.workspaces[entry.workspace] = entry;
+    return true;
+}
+
+remote_load fleet_view::at(name_hash target, absl::Time now) const
+{
+    remote_load sum;
+    for (const auto &[vm, known] : m_heard) {
+        const absl::Duration age = now - known.at;
+        const auto found = known.targets.find(target);
+        if (age > lifetime || found == known.targets.end())
+            continue;
+        sum.backlog
+            += std::max(absl::Milliseconds(found->second.backlogMs) - age, absl::ZeroDuration());
+        sum.inFlight += static_cast<int>(found->second.inFlight);
+    }
+    return sum;
+}
+
+workspace_usage fleet_view::usageOf(name_hash workspace, absl::Time now) const
+{
+    workspace_usage sum;
+    for (const auto &[vm, known] : m_heard) {
+        const auto found = known.workspaces.find(workspace);
+        if (now - known.at > lifetime || found == known.workspaces.end())
+            continue;
+        sum.askedTokens += found->second.askedTokens;
+        sum.servedTokens += found->second.servedTokens;
+    }
+    return sum;
+}
+
+std::vector<name_hash> fleet_view::workspaces(absl::Time now) const
+{
+    absl::flat_hash_set<name_hash> names;
+    for (const auto &[vm, known] : m_heard) {
+        if (now - known.at > lifetime)
+            continue;
+        for (const auto &[workspace, entry] : known.workspaces)
+            names.insert(workspace);
+    }
+    return {names.begin(), names.end()};
+}
+
+std::size_t fleet_view::heard(absl::Time now) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_heard.begin(), m_heard.end(),
+                      [&](const auto &entry) { return now - entry.second.at <= lifetime; }));
+}
+
+} // namespace quetzal
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -25,6 +25,12 @@
 constexpr double readingOverMixedRate = 2.0;
 /** What a model request costs beside the reading of its prompt. */
 constexpr absl::Duration fixedModelWork = absl::Milliseconds(8);
+/** A made token counts as many read ones in the capacity that the configuration tells. */
+constexpr std::int64_t madeTokenWeight = 2;
+/** Prompts told in one digest, so that it fits a datagram. */
+constexpr std::size_t mostToldPrompts = 30;
+/** Prompts that are kept to be told. */
+constexpr std::size_t mostKeptPrompts = 300;
 constexpr double lostAnswerWeight = 1.0;
 constexpr double failedAnswerWeight = 0.15;
 constexpr double refusalWeight = 0.7;
@@ -38,6 +44,12 @@
     return std::to_string(part.id);
 }
 
+/** The work of a model request in the unit of the fair shares. */
+std::int64_t costInTokens(const request_description &description)
+{
+    return tokensOf(description.prompt) + madeTokenWeight * description.mostOutputTokens;
+}
+
 } // namespace
 
 forwarding_node::forwarding_node(forwarding_options options)
@@ -58,8 +70,7 @@
                                   absl::Time now)
 {
     const target_state *known = m_directory.find(record.id);
-    const bool isRestarted
-        = known != nullptr && known->record.startedAtMs != record.startedAtMs;
+    const bool isRestarted = known != nullptr && known->record.startedAtMs != record.startedAtMs;
     if (isRestarted)
         m_views.erase(record.id);
     absl::Duration coldStart;
@@ -67,13 +78,16 @@
         service != nullptr && !wasListedAtStart)
         coldStart = service->coldStart;
     m_directory.apply(record, coldStart, now);
+    m_targetOfHash[stableHash(record.id)] = record.id;
 }
 
 void forwarding_node::removeTarget(const std::string &id, absl::Time now)
 {
     m_directory.remove(id, now);
-    if (m_directory.find(id) == nullptr)
-        m_coldLimiter.remove(id);
+    if (m_directory.find(id) != nullptr)
+        return;
+    m_coldLimiter.remove(id);
+    m_targetOfHash.erase(stableHash(id));
 }
 
 void forwarding_node::setEvacuated(const absl::flat_hash_set<std::string> &dataCentres,
@@ -87,8 +101,8 @@
     m_directory.setEvacuated(dataCentres, coldStarts, now);
 }
 
-std::variant<admitted_request, rejection>
-forwarding_node::admit(const request_description &request, absl::Time arrivedAt) const
+std::variant<admitted_request, rejection> forwarding_node::admit(const request_description &request,
+                                                                 absl::Time arrivedAt) const
 {
     if (!m_table)
         return rejection {.status = statusUnavailable,
@@ -112,9 +126,12 @@
                              .dueAt = dueAt};
 }
 
-void forwarding_node::onAdmitted(const admitted_request &request, absl::Time now)
+void forwarding_node::onAdmitted(const admitted_request &request,
+                                 const request_description &description, absl::Time now)
 {
     m_repeats.onRequest(request.service, now);
+    if (!description.prompt.empty())
+        m_accounts.onAsked(request.workspace, costInTokens(description), now);
 }
 
 forwarding_node::target_view &forwarding_node::viewOf(const std::string &target,
@@ -141,8 +158,8 @@
 
 int forwarding_node::coldPermits(const service_description &service) const
 {
-    return static_cast<int>(std::floor(service.coldRequestsPerSecond * m_options.coldFactor
-                                       + m_options.coldAllowance));
+    return static_cast<int>(
+        std::floor(service.coldRequestsPerSecond * m_options.coldFactor + m_options.coldAllowance));
 }
 
 target_candidate forwarding_node::candidateFor(const target_state &state,
@@ -152,35 +169,44 @@
 {
     const target_view &view = viewOf(state.record.id, service);
     const service_speed &speed = speedOf(service);
+    const remote_load remote = m_fleet.at(stableHash(state.record.id), now);
     target_candidate candidate {.id = state.record.id,
-                                .backlog = view.load.backlog(now),
+                                .backlog = view.load.backlog(now) + remote.backlog,
                                 .overdue = view.load.overdue(now),
                                 .failures = view.load.failures(now),
                                 .isInOwnDataCentre
                                 = state.record.dataCentre == m_options.dataCentre};
     const int slots = std::max(state.record.slots, 1);
     candidate.occupancy
-        = static_cast<double>(view.load.inFlightOfAll(now)) / static_cast<double>(slots);
+        = static_cast<double>(view.load.inFlight() + remote.inFlight) / static_cast<double>(slots);
     if (!service.isModelEngine()) {
         candidate.ownWork = speed.perRequest() / slots;
         return candidate;
     }
     choice.missingTokens = view.cache->missingTokens(description.prompt);
-    const std::int64_t lastPart
-        = description.prompt.empty() ? 0 : description.prompt.back().tokens;
-    const std::int64_t repeated
-        = std::max<std::int64_t>(choice.missingTokens - lastPart, 0);
+    const std::int64_t lastPart = description.prompt.empty() ? 0 : description.prompt.back().tokens;
+    const std::int64_t repeated = std::max<std::int64_t>(choice.missingTokens - lastPart, 0);
     candidate.ownWork
         = fixedModelWork + speed.perToken() * static_cast<double>(choice.missingTokens);
     candidate.repeatedWork = speed.perToken() * static_cast<double>(repeated);
     return candidate;
 }
 
-rejection forwarding_node::overloaded(absl::Duration backlog) const
+absl::Duration forwarding_node::limitFor(const admitted_request &request, absl::Time now)
+{
+    const share_state share = m_accounts.shareOf(request.workspace, m_fleet,
+                                                 request.table->limits().tokensPerSecond, now);
+    return backlogLimit(share, request.rule->aim, m_options.limits);
+}
+
+void forwarding_node::rememberPrompt(const std::string &target,
+                                     const request_description &description)
 {
-    return {.status = statusUnavailable,
-            .code = result_code::RouterQueueFull,
-            .retryAfter = std::max(backlog - m_options.mostBacklog / 2, leastRetryAfter)};
+    if (description.prompt.size() < 2 || m_placedPrompts.size() >= mostKeptPrompts)
+        return;
+    m_placedPrompts.push_back(
+        {.target = stableHash(target),
+         .parts = {description.prompt.begin(), description.prompt.end() - 1}});
 }
 
 std::variant<placement, rejection>
@@ -218,30 +244,35 @@
     const std::size_t best = *chooseTarget(candidates, m_options.weights);
     const target_candidate &chosen = candidates[best];
     const target_state &state = *options[best].state;
-    if (chosen.backlog > m_options.mostBacklog)
-        return overloaded(chosen.backlog);
+    const absl::Duration limit = limitFor(request, now);
+    if (chosen.backlog > limit)
+        return rejection {.status = statusUnavailable,
+                          .code = result_code::RouterQueueFull,
+                          .retryAfter = std::max(chosen.backlog - limit / 2, leastRetryAfter)};
 
     target_view &view = viewOf(chosen.id, *service);
     const bool isCold = now < state.coldUntil;
     m_open[number] = {.service = request.service,
                       .isModelRequest = service->isModelEngine(),
-                      .wasAlone = view.load.backlog(now) <= absl::ZeroDuration(),
+                      .wasAlone = chosen.backlog <= absl::ZeroDuration(),
                       .missingTokens = options[best].missingTokens,
                       .sentAt = now};
     view.load.onSent(number, chosen.ownWork, now);
-    if (view.cache)
+    if (view.cache) {
         view.cache->use(description.prompt);
+        m_accounts.onServed(request.workspace, costInTokens(description), now);
+        rememberPrompt(chosen.id, description);
+    }
     if (isCold)
         m_coldLimiter.onSent(chosen.id, now);
-    const auto sharers = static_cast<int>(std::max<std::size_t>(
-        m_options.routers.members.size(), 1));
+    const auto sharers
+        = static_cast<int>(std::max<std::size_t>(m_options.routers.members.size(), 1));
     return placement {.target = chosen.id,
                       .address = state.record.address,
                       .dataCentre = state.record.dataCentre,
-                      .mostConnections
-                      = service->mostConnections == 0
-                            ? 0
-                            : std::max(service->mostConnections / sharers, 1),
+                      .mostConnections = service->mostConnections == 0
+                          ? 0
+                          : std::max(service->mostConnections / sharers, 1),
                       .isCold = isCold,
                       .backlog = chosen.backlog,
                       .work = chosen.ownWork,
@@ -254,8 +285,7 @@
     return m_repeats.trySpend(service, m_options.routers.members.size(), now);
 }
 
-void forwarding_node::onAnswerBegan(std::uint64_t number, const std::string &target,
-                                    absl::Time now)
+void forwarding_node::onAnswerBegan(std::uint64_t number, const std::string &target, absl::Time now)
 {
     const auto open = m_open.find(number);
     const auto view = m_views.find(target);
@@ -304,4 +334,36 @@
         view->second.load.onReport(report);
 }
 
+load_digest forwarding_node::makeDigest(absl::Time now)
+{
+    load_digest digest {
+        .vm = m_options.routers.self, .sequence = ++m_digestSequence, .life = m_options.life};
+    for (const auto &[target, view] : m_views) {
+        if (view.load.inFlight() == 0)
+            continue;
+        digest.targets.push_back({.target = stableHash(target),
+                                  .backlogMs = absl::ToInt64Milliseconds(view.load.backlog(now)),
+                                  .inFlight = view.load.inFlight()});
+    }
+    digest.workspaces = m_accounts.digest(now);
+    const std::size_t told = std::min(m_placedPrompts.size(), mostToldPrompts);
+    const auto end = m_placedPrompts.begin() + static_cast<std::ptrdiff_t>(told);
+    digest.prompts.assign(m_placedPrompts.begin(), end);
+    m_placedPrompts.erase(m_placedPrompts.begin(), end);
+    return digest;
+}
+
+void forwarding_node::onDigest(const load_digest &digest, absl::Time now)
+{
+    if (!m_fleet.apply(digest, now))
+        return;
+    for (const placed_prompt &prompt : digest.prompts) {
+        const auto target = m_targetOfHash.find(prompt.target);
+        const auto view
+            = target == m_targetOfHash.end() ? m_views.end() : m_views.find(target->second);
+        if (view != m_views.end() && view->second.cache)
+            view->second.cache->use(prompt.parts);
+    }
+}
+
 } // namespace quetzal
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -3,8 +3,10 @@
 #include "budgets/cold/cold_start_limiter.h"
 #include "budgets/retry/shared_retry_budget.h"
 #include "directory/target/target_directory.h"
+#include "exchange/view/fleet_view.h"
 #include "forwarding/node/forwarding_types.h"
 #include "forwarding/node/service_speed.h"
+#include "forwarding/node/workspace_accounts.h"
 #include "forwarding/request/request_description.h"
 #include "forwarding/route/route_table.h"
 #include "placement/cache/prompt_cache_view.h"
@@ -45,7 +47,8 @@
     std::variant<admitted_request, rejection> admit(const request_description &request,
                                                     absl::Time arrivedAt) const;
     /** A request was admitted and counts for its service's budget of repeats. */
-    void onAdmitted(const admitted_request &request, absl::Time now);
+    void onAdmitted(const admitted_request &request, const request_description &description,
+                    absl::Time now);
     /**
      * Chooses a target and counts the request there under this number; the targets in excluded are
      * passed over.
@@ -58,10 +61,15 @@
     bool trySpendRepeat(const std::string &service, absl::Time now);
 
     void onAnswerBegan(std::uint64_t number, const std::string &target, absl::Time now);
-    void onEnded(std::uint64_t number, const std::string &target, exchange_end end,
-                 absl::Time now);
+    void onEnded(std::uint64_t number, const std::string &target, exchange_end end, absl::Time now);
     void onReport(const std::string &target, const reported_load &report);
 
+    /** What the other routers are told now; the prompts of a digest are told once. */
+    load_digest makeDigest(absl::Time now);
+    /** Another router told of its work. */
+    void onDigest(const load_digest &digest, absl::Time now);
+    const fleet_view &fleet() const { return m_fleet; }
+
 private:
     struct open_request
     {
@@ -89,7 +97,8 @@
     target_candidate candidateFor(const target_state &state, const service_description &service,
                                   const request_description &description, option &choice,
                                   absl::Time now);
-    rejection overloaded(absl::Duration backlog) const;
+    absl::Duration limitFor(const admitted_request &request, absl::Time now);
+    void rememberPrompt(const std::string &target, const request_description &description);
 
     forwarding_options m_options;
     std::shared_ptr<const route_table> m_table;
@@ -99,6 +108,12 @@
     absl::flat_hash_map<std::string, target_view> m_views;
     absl::flat_hash_map<std::string, service_speed> m_speeds;
     absl::flat_hash_map<std::uint64_t, open_request> m_open;
+    fleet_view m_fleet;
+    workspace_accounts m_accounts;
+    /** Prompts that the other routers were not told of yet. */
+    std::vector<placed_prompt> m_placedPrompts;
+    absl::flat_hash_map<name_hash, std::string> m_targetOfHash;
+    std::uint64_t m_digestSequence = 0;
 };
 
 } // namespace quetzal
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/limit/backlog_limit.h"
 #include "budgets/cold/cold_start_limiter.h"
 #include "budgets/retry/shared_retry_budget.h"
 #include "directory/target/target_record.h"
@@ -28,8 +29,9 @@
     /** The same, as requests on top. */
     double coldAllowance = 0.0;
     choice_weights weights;
-    /** Work at the best target above which a request is rejected at once. */
-    absl::Duration mostBacklog = absl::Milliseconds(400);
+    backlog_limits limits;
+    /** Tells the lives of this router apart in what it tells the others. */
+    std::uint64_t life = 0;
 };
 
 /** A request that is answered by the router itself. */
--- a/modules/forwarding/route/route_table.cpp
+++ b/modules/forwarding/route/route_table.cpp
@@ -17,7 +17,7 @@
     for (auto &[host, indexes] : m_routesOfHost) {
         std::sort(indexes.begin(), indexes.end(), [&](std::size_t left, std::size_t right) {
             return m_options.routes[left].pathPrefix.size()
-                   > m_options.routes[right].pathPrefix.size();
+                > m_options.routes[right].pathPrefix.size();
         });
     }
 }
--- a/modules/http/message/header_fields.cpp
+++ b/modules/http/message/header_fields.cpp
@@ -10,9 +10,16 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 10> hopByHopNames {
-    "Connection", "Keep-Alive", "Proxy-Connection",    "Proxy-Authenticate", "Proxy-Authorization",
-    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",            "Expect"};
+constexpr std::array<std::string_view, 10> hopByHopNames {"Connection",
+                                                          "Keep-Alive",
+                                                          "Proxy-Connection",
+                                                          "Proxy-Authenticate",
+                                                          "Proxy-Authorization",
+                                                          "TE",
+                                                          "Trailer",
+                                                          "Transfer-Encoding",
+                                                          "Upgrade",
+                                                          "Expect"};
 
 bool containsName(const std::vector<std::string_view> &names, std::string_view name)
 {
--- a/modules/http/message/message_head.cpp
+++ b/modules/http/message/message_head.cpp
@@ -1,11 +1,10 @@
 #include "http/message/message_head.h"
 
-#include <ostream>
-
 #include <boost/beast/http/status.hpp>
 
 #include <array>
 #include <charconv>
+#include <ostream>
 
 namespace quetzal {
 
@@ -56,7 +55,8 @@
 
 std::string toBytes(const response_head &head, const response_framing &framing)
 {
-    const std::string_view reason = head.reason.empty() ? reasonOf(head.status) : std::string_view(head.reason);
+    const std::string_view reason
+        = head.reason.empty() ? reasonOf(head.status) : std::string_view(head.reason);
     std::string bytes;
     append(bytes, "HTTP/1.1 ", std::to_string(head.status), " ", reason, "\r\n");
     appendFields(bytes, head.fields);
--- a/modules/http/message/message_head.h
+++ b/modules/http/message/message_head.h
@@ -59,7 +59,8 @@
 /** The bytes of a response's head. */
 std::string toBytes(const response_head &head, const response_framing &framing);
 
-/** One chunk of a chunked body; empty text gives no bytes, because a chunk of none ends the body. */
+/** One chunk of a chunked body; empty text gives no bytes, because a chunk of none ends the body.
+ */
 std::string toChunk(std::string_view text);
 
 /** The chunk that ends a chunked body. */
--- a/modules/http/message/request_reader.cpp
+++ b/modules/http/message/request_reader.cpp
@@ -19,7 +19,7 @@
 bool hasFoldedField(std::string_view head)
 {
     return head.find("\r\n ") != std::string_view::npos
-           || head.find("\r\n\t") != std::string_view::npos;
+        || head.find("\r\n\t") != std::string_view::npos;
 }
 
 } // namespace
@@ -147,18 +147,15 @@
     head.keepAlive = m_parser->keep_alive();
     head.expectsContinue = equalNames(head.fields.valueOf("Expect"), "100-continue");
     const std::string *coding = head.fields.find("Transfer-Encoding");
-    const bool codingIsOdd
-        = coding != nullptr
-          && (!equalNames(*coding, "chunked") || m_parser->httpVersion == versionOneDotZero);
+    const bool codingIsOdd = coding != nullptr
+        && (!equalNames(*coding, "chunked") || m_parser->httpVersion == versionOneDotZero);
     const std::string *length = head.fields.find("Content-Length");
-    const bool lengthIsOdd
-        = length != nullptr
-          && (coding != nullptr || length->empty()
-              || !std::all_of(length->begin(), length->end(),
-                              [](char digit) { return digit >= '0' && digit <= '9'; }));
+    const bool lengthIsOdd = length != nullptr
+        && (coding != nullptr || length->empty()
+            || !std::all_of(length->begin(), length->end(),
+                            [](char digit) { return digit >= '0' && digit <= '9'; }));
     const bool isRepeated = head.fields.count("Content-Length") > 1
-                            || head.fields.count("Transfer-Encoding") > 1
-                            || head.fields.count("Host") != 1;
+        || head.fields.count("Transfer-Encoding") > 1 || head.fields.count("Host") != 1;
     if (codingIsOdd || lengthIsOdd || isRepeated)
         m_fault = request_fault::Malformed;
 }
--- a/modules/placement/choice/target_choice.cpp
+++ b/modules/placement/choice/target_choice.cpp
@@ -23,8 +23,7 @@
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         const absl::Duration cost = costOf(candidates[index], weights);
         const bool isBetter = !best || cost < bestCost
-                              || (cost == bestCost
-                                  && candidates[index].affinity > candidates[*best].affinity);
+            || (cost == bestCost && candidates[index].affinity > candidates[*best].affinity);
         if (!isBetter)
             continue;
         best = index;
--- a/modules/placement/choice/target_choice.h
+++ b/modules/placement/choice/target_choice.h
@@ -37,7 +37,7 @@
 struct choice_weights
 {
     /** How many times work that another target would save counts on top. */
-    double repeatedWork = 3.0;
+    double repeatedWork = 10.0;
     double overdue = 2.0;
     absl::Duration failure = absl::Milliseconds(150);
     absl::Duration fullOccupancy = absl::Milliseconds(100);
--- a/modules/placement/load/target_load.cpp
+++ b/modules/placement/load/target_load.cpp
@@ -9,8 +9,6 @@
 
 /** After this time a failure counts half. */
 constexpr absl::Duration failureHalfLife = absl::Milliseconds(1500);
-/** What other routers told is used this long. */
-constexpr absl::Duration remoteLifetime = absl::Seconds(1);
 
 } // namespace
 
@@ -51,21 +49,10 @@
     m_failuresAt = now;
 }
 
-void target_load::setRemoteBacklog(absl::Duration backlog, int inFlight, absl::Time now)
-{
-    m_remoteBacklog = backlog;
-    m_remoteInFlight = inFlight;
-    m_remoteAt = now;
-}
-
 absl::Duration target_load::backlog(absl::Time now) const
 {
-    absl::Duration own = std::max(m_busyUntil - now, absl::ZeroDuration());
-    own = std::min(own, unansweredWork());
-    const absl::Duration age = now - m_remoteAt;
-    if (age > remoteLifetime)
-        return own;
-    return own + std::max(m_remoteBacklog - age, absl::ZeroDuration());
+    const absl::Duration untilIdle = std::max(m_busyUntil - now, absl::ZeroDuration());
+    return std::min(untilIdle, unansweredWork());
 }
 
 absl::Duration target_load::overdue(absl::Time now) const
@@ -84,9 +71,4 @@
     return m_failures * std::exp2(-absl::FDivDuration(now - m_failuresAt, failureHalfLife));
 }
 
-int target_load::inFlightOfAll(absl::Time now) const
-{
-    return inFlight() + (now - m_remoteAt > remoteLifetime ? 0 : m_remoteInFlight);
-}
-
 } // namespace quetzal
--- a/modules/placement/load/target_load.h
+++ b/modules/placement/load/target_load.h
@@ -37,10 +37,8 @@
     /** A send failed, or an answer was lost; weight: how much it speaks against the target. */
     void onFailure(double weight, absl::Time now);
     void onReport(const reported_load &report) { m_report = report; }
-    /** Work at the target that other routers sent. */
-    void setRemoteBacklog(absl::Duration backlog, int inFlight, absl::Time now);
 
-    /** How long the work that is known to wait at the target will take from now. */
+    /** How long the work that this router sent and that waits will take from now. */
     absl::Duration backlog(absl::Time now) const;
     /** How long the oldest request without an answer is overdue. */
     absl::Duration overdue(absl::Time now) const;
@@ -48,8 +46,6 @@
     double failures(absl::Time now) const;
     /** Requests of this router that are not over. */
     int inFlight() const { return static_cast<int>(m_requests.size()); }
-    /** Requests of all routers that are not over, as far as known. */
-    int inFlightOfAll(absl::Time now) const;
     const reported_load &report() const { return m_report; }
 
 private:
@@ -67,9 +63,6 @@
     reported_load m_report;
     double m_failures = 0.0;
     absl::Time m_failuresAt = absl::InfinitePast();
-    absl::Duration m_remoteBacklog;
-    int m_remoteInFlight = 0;
-    absl::Time m_remoteAt = absl::InfinitePast();
 };
 
 } // namespace quetzal
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -49,8 +49,8 @@
 
     SECTION("in chunks")
     {
-        const request_reader reader = readAll(
-            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+        const request_reader reader = readAll("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                                              "chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
         CHECK(reader.isComplete());
         CHECK(reader.body() == "abc");
     }
--- a/tests/http/response_reader_test.cpp
+++ b/tests/http/response_reader_test.cpp
@@ -36,8 +36,8 @@
 
     SECTION("in chunks")
     {
-        const std::string_view bytes
-            = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+        const std::string_view bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: "
+                                       "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
         CHECK(reader.consume(bytes) == bytes.size());
         CHECK(reader.isComplete());
         CHECK(reader.takeBody() == "abcde");
