Routers hand their copies of the store on; streams go on at another target; metrics; reload

- A router that the store turns away, or cannot reach, asks the others for their copies of the three prefixes (known by their member keys or by their datagrams), so that configuration, evacuations and targets stay within their bounds while the store serves only some VMs.
Copies never go back: they pass the same mirror.
A router that starts meanwhile becomes ready from them.
- A resumable stream passes whole events only; when its target breaks off it goes on behind the last whole one at another target, within the attempts and the budget.
After the head was passed on, nothing but the rest of the body can follow: a broken answer is cut off.
- Counters and latency histograms (the product's registry, Boost.Histogram) on the metrics address.
- SIGHUP and a changed settings file put new limits in force; faults are logged and change nothing.

--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -52,7 +52,7 @@
 void caller_connection::start()
 {
     setConnectionOptions(m_socket);
-    ++m_context.counts.connections;
+    m_context.metrics.onConnection();
     setTimer(limitsOf(m_context).idleTimeout + idleSlack);
     read();
 }
@@ -158,7 +158,7 @@
 {
     m_keepAlive = m_reader->head().keepAlive;
     m_timer.cancel();
-    ++m_context.counts.requests;
+    m_context.metrics.onRequest();
     m_run = std::make_shared<request_run>(m_context, weak_from_this(), m_reader->head(),
                                           m_reader->body(), m_firstByteAt);
     m_reader.reset();
--- a/apps/edge/edge_context.h
+++ b/apps/edge/edge_context.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "apps/edge/edge_metrics.h"
 #include "apps/edge/event_log.h"
 #include "apps/edge/target_pool.h"
 #include "forwarding/node/forwarding_node.h"
@@ -10,18 +11,6 @@
 
 namespace quetzal {
 
-/** Counts of one edge process since its start. */
-struct edge_counts
-{
-    std::int64_t connections = 0;
-    std::int64_t requests = 0;
-    std::int64_t answered = 0;
-    std::int64_t rejected = 0;
-    std::int64_t failed = 0;
-    std::int64_t callersGone = 0;
-    std::int64_t sends = 0;
-};
-
 /** What the connections of one edge process share. */
 struct edge_context
 {
@@ -29,7 +18,7 @@
     forwarding_node &node;
     target_pool &pool;
     event_log &log;
-    edge_counts counts;
+    edge_metrics &metrics;
     /** Bytes of requests that are held in memory. */
     std::size_t heldBytes = 0;
     /** Above this, requests are rejected. */
--- /dev/null
+++ b/apps/edge/edge_metrics.cpp
@@ -0,0 +1,63 @@
+#include "apps/edge/edge_metrics.h"
+
+namespace quetzal {
+
+namespace {
+
+const char *nameOf(request_kind kind)
+{
+    switch (kind) {
+    case request_kind::Idempotent:
+        return "idempotent";
+    case request_kind::NonIdempotent:
+        return "non_idempotent";
+    case request_kind::Stream:
+        return "stream";
+    }
+    return "";
+}
+
+} // namespace
+
+edge_metrics::edge_metrics()
+    : m_connections(
+        m_registry.counterFor("quetzal_edge_connections_total", "Connections taken from callers."))
+    , m_requests(m_registry.counterFor("quetzal_edge_requests_total", "Requests read whole."))
+    , m_sends(m_registry.counterFor("quetzal_edge_sends_total", "Requests sent to targets."))
+{
+}
+
+void edge_metrics::onAttemptFailed(const std::string &name)
+{
+    m_registry
+        .counterFor("quetzal_edge_attempts_failed_total", "Sends without an answer for the caller.",
+                    {{"failure", name}})
+        .add();
+}
+
+void edge_metrics::onFirstByte(request_kind kind, absl::Duration time)
+{
+    m_registry
+        .histogramFor("quetzal_edge_first_byte_seconds",
+                      "From the request to the first byte of its answer.", {{"kind", nameOf(kind)}})
+        .record(time);
+}
+
+void edge_metrics::onEnd(const std::string &outcome, int code, absl::Duration time)
+{
+    m_registry
+        .counterFor("quetzal_edge_ended_total", "Requests that are over, by result.",
+                    {{"outcome", outcome}, {"code", std::to_string(code)}})
+        .add();
+    m_registry
+        .histogramFor("quetzal_edge_request_seconds", "From the request to its end.",
+                      {{"outcome", outcome}})
+        .record(time);
+}
+
+void edge_metrics::set(const std::string &name, const std::string &help, std::int64_t value)
+{
+    m_registry.gaugeFor("quetzal_edge_" + name, help).set(static_cast<double>(value));
+}
+
+} // namespace quetzal
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -6,6 +6,7 @@
 #include <absl/time/clock.h>
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <csignal>
 #include <utility>
@@ -17,12 +18,16 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickInterval {200};
+/** The settings file may change without a signal. */
+constexpr int ticksPerSettingsCheck = 15;
 /** The prefix of the records of this product's routers. */
 constexpr char memberPrefix[] = "quetzalreach/members/";
 constexpr std::uint16_t metricsPort = 9464;
 constexpr char metricsPath[] = "/metrics";
 constexpr int statusUnavailable = 503;
 constexpr int statusOk = 200;
+constexpr int statusNoContent = 204;
+constexpr int statusNotFound = 404;
 constexpr absl::Duration announceTimeout = absl::Seconds(1);
 /** How long new requests are still taken after the order to stop. */
 constexpr absl::Duration acceptAfterStop = absl::Milliseconds(2800);
@@ -35,15 +40,20 @@
 /** Requests a second to a cold target stay below the limit by this factor. */
 constexpr double coldSafety = 0.9;
 
-forwarding_options nodeOptions(const edge_settings &settings)
+fleet_limits fleetLimits(const edge_settings &settings)
 {
-    return {.dataCentre = settings.dataCentre,
-            .routers = {.self = settings.vm, .members = {settings.vm}},
-            .retries = {.window = settings.retryWindow,
+    return {.retries = {.window = settings.retryWindow,
                         .ratio = settings.retryRatio,
                         .allowance = settings.retryAllowance},
             .coldFactor = settings.coldFactor * coldSafety,
-            .coldAllowance = settings.coldAllowance * coldSafety,
+            .coldAllowance = settings.coldAllowance * coldSafety};
+}
+
+forwarding_options nodeOptions(const edge_settings &settings)
+{
+    return {.dataCentre = settings.dataCentre,
+            .routers = {.self = settings.vm, .members = {settings.vm}},
+            .fleet = fleetLimits(settings),
             .life = static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now()))};
 }
 
@@ -57,8 +67,10 @@
 
 } // namespace
 
-edge_process::edge_process(edge_settings settings)
+edge_process::edge_process(edge_settings settings, settings_reader readSettings)
     : m_settings(std::move(settings))
+    , m_lastRead(m_settings)
+    , m_readSettings(std::move(readSettings))
     , m_loop(1)
     , m_log(m_loop, m_settings.vm)
     , m_node(nodeOptions(m_settings))
@@ -67,9 +79,12 @@
                  .node = m_node,
                  .pool = m_pool,
                  .log = m_log,
+                 .metrics = m_metrics,
                  .mostHeldBytes = mostHeldBytes(m_settings)}
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
     , m_timer(m_loop)
+    , m_peers(m_loop, m_node,
+              {.host = m_settings.callers.host, .port = m_settings.firstInternalPort})
     , m_configuration(m_loop, m_log, m_settings.store, platform::operatorPrefix,
                       {.onChanges =
                            [this](const auto &changes, bool) {
@@ -90,24 +105,14 @@
                      [this](const auto &, bool) {
                          onMembers();
                      }})
-    , m_peers(m_loop, m_node,
-              {.host = m_settings.callers.host, .port = m_settings.firstInternalPort})
     , m_announcer(m_loop, m_settings.store)
     , m_callers(m_loop, m_settings.callers, [this](auto socket) { onCaller(std::move(socket)); })
     , m_readiness(m_loop, m_settings.readiness,
-                  [this](auto socket) {
-                      std::make_shared<status_connection>(
-                          m_loop, std::move(socket),
-                          [this](const std::string &path) { return statusPage(path); })
-                          ->start();
-                  })
-    , m_metrics(m_loop, {.host = m_settings.callers.host, .port = metricsPort},
-                [this](auto socket) {
-                    std::make_shared<status_connection>(
-                        m_loop, std::move(socket),
-                        [this](const std::string &path) { return statusPage(path); })
-                        ->start();
-                })
+                  pages([this](const std::string &path) { return statusPage(path); }))
+    , m_metricsPage(m_loop, {.host = m_settings.callers.host, .port = metricsPort},
+                    pages([this](const std::string &path) { return statusPage(path); }))
+    , m_copies(m_loop, {.host = m_settings.callers.host, .port = m_settings.firstInternalPort},
+               pages([this](const std::string &path) { return copyPage(path); }))
 {
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -242,13 +247,39 @@
         if (error)
             return;
         if (signal == SIGHUP)
-            m_log.line("reloaded");
+            reload("signal");
         else
             beginStop();
         waitForSignal();
     });
 }
 
+void edge_process::reload(std::string_view cause)
+{
+    const edge_settings_reading reading = m_readSettings();
+    m_lastRead = reading.settings;
+    for (const settings_fault &fault : reading.faults)
+        m_log.line("settings_invalid").text("field", fault.field).text("message", fault.message);
+    if (!reading.faults.empty())
+        return;
+    const bool isChanged = reading.settings != m_settings;
+    m_log.line("reloaded").text("cause", cause).flag("changed", isChanged);
+    if (!isChanged)
+        return;
+    edge_settings next = reading.settings;
+    const bool needsRestart = next.callers != m_settings.callers
+        || next.readiness != m_settings.readiness || next.store != m_settings.store
+        || next.firstInternalPort != m_settings.firstInternalPort;
+    if (needsRestart)
+        m_log.line("settings_need_restart");
+    next.callers = m_settings.callers;
+    next.readiness = m_settings.readiness;
+    next.store = m_settings.store;
+    next.firstInternalPort = m_settings.firstInternalPort;
+    m_settings = next;
+    m_node.setFleetLimits(fleetLimits(m_settings));
+}
+
 void edge_process::beginStop()
 {
     if (m_stopBegan)
@@ -264,6 +295,8 @@
     const absl::Time now = edgeNow();
     announce();
     m_pool.closeExpired(now);
+    if (++m_ticks % ticksPerSettingsCheck == 0 && m_readSettings().settings != m_lastRead)
+        reload("file");
     if (m_stopBegan)
         tickStop(now);
     m_timer.expires_after(tickInterval);
@@ -293,7 +326,7 @@
         && m_members.follower().mirror().isComplete();
 }
 
-status_page edge_process::statusPage(const std::string &path) const
+status_page edge_process::statusPage(const std::string &path)
 {
     if (path == metricsPath)
         return {.status = statusOk, .body = metricsText()};
@@ -301,25 +334,46 @@
                      : status_page {.status = statusUnavailable, .body = "not ready\n"};
 }
 
-std::string edge_process::metricsText() const
+listener::callback edge_process::pages(status_connection::handler answer)
 {
-    const edge_counts &counts = m_context.counts;
-    std::string text;
-    const auto add = [&](const char *name, std::int64_t value) {
-        text += std::string("quetzal_edge_") + name + " " + std::to_string(value) + "\n";
+    return [this, answer = std::move(answer)](boost::asio::ip::tcp::socket socket) {
+        std::make_shared<status_connection>(m_loop, std::move(socket), answer)->start();
     };
-    add("connections_total", counts.connections);
-    add("requests_total", counts.requests);
-    add("answered_total", counts.answered);
-    add("rejected_total", counts.rejected);
-    add("failed_total", counts.failed);
-    add("callers_gone_total", counts.callersGone);
-    add("sends_total", counts.sends);
-    add("target_connections_total", m_pool.opened());
-    add("digests_sent_total", m_peers.sent());
-    add("digests_received_total", m_peers.received());
-    add("log_lines_dropped_total", static_cast<std::int64_t>(m_log.dropped()));
-    return text;
+}
+
+status_page edge_process::copyPage(const std::string &path) const
+{
+    for (const mirror_session *session : {&m_configuration, &m_targets, &m_members}) {
+        const std::string start = mirrorPath + session->follower().mirror().prefix() + "?after=";
+        if (!path.starts_with(start))
+            continue;
+        std::int64_t revision = 0;
+        std::from_chars(path.data() + start.size(), path.data() + path.size(), revision);
+        std::string copy = session->copyAfter(revision);
+        const int status = copy.empty() ? statusNoContent : statusOk;
+        return {.status = status, .body = std::move(copy)};
+    }
+    return {.status = statusNotFound, .body = {}};
+}
+
+std::string edge_process::metricsText()
+{
+    m_metrics.set("open_connections", "Connections from callers.",
+                  static_cast<std::int64_t>(m_connections.size()));
+    m_metrics.set("target_connections_opened", "Connections to targets since the start.",
+                  m_pool.opened());
+    m_metrics.set("digests_sent", "Datagrams to other routers since the start.", m_peers.sent());
+    m_metrics.set("digests_received", "Datagrams from other routers since the start.",
+                  m_peers.received());
+    m_metrics.set("routers", "Routers that share the fleet's limits.",
+                  static_cast<std::int64_t>(m_node.routers().members.size()));
+    m_metrics.set("configuration_version", "The version of the configuration in force.",
+                  m_node.routes() ? m_node.routes()->version() : 0);
+    m_metrics.set("held_bytes", "Bytes of requests held in memory.",
+                  static_cast<std::int64_t>(m_context.heldBytes));
+    m_metrics.set("log_lines_dropped", "Log lines left out since the start.",
+                  static_cast<std::int64_t>(m_log.dropped()));
+    return m_metrics.text();
 }
 
 } // namespace quetzal
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -14,9 +14,11 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace quetzal {
@@ -25,8 +27,10 @@
 class edge_process
 {
 public:
+    using settings_reader = std::function<edge_settings_reading()>;
+
     /** Throws std::system_error when an address can't be bound. */
-    explicit edge_process(edge_settings settings);
+    edge_process(edge_settings settings, settings_reader readSettings);
 
     /** Serves until the process was told to stop and has finished. */
     void run();
@@ -38,31 +42,41 @@
     void onMembers();
     void announce();
     void waitForSignal();
+    void reload(std::string_view cause);
     void beginStop();
     void tick();
     void tickStop(absl::Time now);
     bool isReady() const;
-    status_page statusPage(const std::string &path) const;
-    std::string metricsText() const;
+    status_page statusPage(const std::string &path);
+    std::string metricsText();
+    status_page copyPage(const std::string &path) const;
+    /** Serves pages of the process about itself on accepted connections. */
+    listener::callback pages(status_connection::handler answer);
 
     edge_settings m_settings;
+    /** What the settings file held when it was last read, in force or not. */
+    edge_settings m_lastRead;
+    settings_reader m_readSettings;
+    int m_ticks = 0;
     boost::asio::io_context m_loop;
     event_log m_log;
     forwarding_node m_node;
     target_pool m_pool;
+    edge_metrics m_metrics;
     edge_context m_context;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_timer;
+    peer_exchange m_peers;
     mirror_session m_configuration;
     mirror_session m_targets;
     mirror_session m_members;
-    peer_exchange m_peers;
     http_client m_announcer;
     bool m_isAnnouncing = false;
     bool m_isAnnounced = false;
     listener m_callers;
     listener m_readiness;
-    listener m_metrics;
+    listener m_metricsPage;
+    listener m_copies;
     absl::flat_hash_set<std::shared_ptr<caller_connection>> m_connections;
     std::optional<absl::Time> m_stopBegan;
 };
--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -56,7 +56,8 @@
         std::cout << QUETZAL_VERSION << '\n';
         return EXIT_SUCCESS;
     }
-    const auto reading = readFile(values["settings"].as<std::string>());
+    const auto path = values["settings"].as<std::string>();
+    const auto reading = readFile(path);
     for (const quetzal::settings_fault &fault : reading.faults)
         fail(quetzal::result_code::SettingsInvalid, fault.field + " " + fault.message,
              exitSettings);
@@ -67,7 +68,7 @@
         return EXIT_SUCCESS;
     }
     try {
-        quetzal::edge_process process(reading.settings);
+        quetzal::edge_process process(reading.settings, [path] { return readFile(path); });
         process.run();
     } catch (const std::system_error &error) {
         return fail(quetzal::result_code::AddressInUse, error.what(), exitAddress);
--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -1,8 +1,10 @@
 #include "apps/edge/mirror_session.h"
 
 #include "apps/edge/edge_clock.h"
+#include "directory/mirror/mirror_codec.h"
 #include "platform/store_dialect.h"
 
+#include <chrono>
 #include <utility>
 
 namespace quetzal {
@@ -15,6 +17,9 @@
 constexpr absl::Duration callTimeout = absl::Milliseconds(800);
 constexpr absl::Duration listTimeout = absl::Milliseconds(1500);
 constexpr int statusOk = 200;
+/** The pause between calls to other routers while the store does not answer. */
+constexpr std::chrono::milliseconds peerPause {400};
+constexpr absl::Duration peerTimeout = absl::Milliseconds(600);
 
 } // namespace
 
@@ -26,6 +31,8 @@
     , m_client(loop, store)
     , m_follower(std::move(prefix))
     , m_callbacks(std::move(callbacks))
+    , m_loop(loop)
+    , m_peerTimer(loop)
 {
 }
 
@@ -37,7 +44,9 @@
 void mirror_session::stop()
 {
     m_timer.cancel();
+    m_peerTimer.cancel();
     m_client.stop();
+    m_peerClient.reset();
 }
 
 void mirror_session::step()
@@ -82,6 +91,7 @@
             .number("status", result ? result->status : 0)
             .number("bytes", result ? static_cast<std::int64_t>(result->body.size()) : 0);
         m_follower.onFailure(edgeNow());
+        schedulePeerCall();
     }
     tellTouch();
     this->step();
@@ -109,10 +119,60 @@
     return true;
 }
 
-void mirror_session::applyForeign(const std::vector<stored_item> &items, std::int64_t at)
+std::string mirror_session::copyAfter(std::int64_t revision) const
 {
-    const bool first = !m_follower.mirror().isComplete();
-    tell(m_follower.onForeignListing(items, at), first);
+    const prefix_mirror &mirror = m_follower.mirror();
+    if (!mirror.isComplete() || mirror.revision() <= revision)
+        return {};
+    return encodeMirror({.items = mirror.items(), .at = mirror.revision()});
+}
+
+void mirror_session::schedulePeerCall()
+{
+    if (m_isAskingPeers || !m_callbacks.nextPeer)
+        return;
+    m_isAskingPeers = true;
+    m_peerTimer.expires_after(peerPause);
+    m_peerTimer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            callPeer();
+    });
+}
+
+void mirror_session::callPeer()
+{
+    m_isAskingPeers = false;
+    if (m_follower.isInTouch())
+        return;
+    const auto peer = m_callbacks.nextPeer();
+    if (!peer) {
+        schedulePeerCall();
+        return;
+    }
+    m_isAskingPeers = true;
+    m_peerClient = std::make_unique<http_client>(m_loop, *peer);
+    const prefix_mirror &mirror = m_follower.mirror();
+    const std::int64_t known = mirror.isComplete() ? mirror.revision() : 0;
+    m_peerClient->call(
+        {.target = mirrorPath + mirror.prefix() + "?after=" + std::to_string(known),
+         .timeout = peerTimeout},
+        [this, peer](const std::optional<http_result> &result) { onCopy(*peer, result); });
+}
+
+void mirror_session::onCopy(const network_address &peer, const std::optional<http_result> &result)
+{
+    m_isAskingPeers = false;
+    const auto page
+        = result && result->status == statusOk ? decodeMirror(result->body) : std::nullopt;
+    if (page) {
+        m_log.line("copy_taken")
+            .text("prefix", m_follower.mirror().prefix())
+            .text("from", peer.host)
+            .number("revision", page->at);
+        const bool first = !m_follower.mirror().isComplete();
+        tell(m_follower.onForeignListing(page->items, page->at), first);
+    }
+    schedulePeerCall();
 }
 
 void mirror_session::tell(const std::vector<key_change> &changes, bool first)
--- a/apps/edge/mirror_session.h
+++ b/apps/edge/mirror_session.h
@@ -8,6 +8,8 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <functional>
+#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -20,9 +22,17 @@
     std::function<void(const std::vector<key_change> &, bool first)> onChanges;
     /** The store answers again, or no longer. */
     std::function<void(bool inTouch)> onTouch;
+    /** The next router to ask while the store does not answer; empty when none is known. */
+    std::function<std::optional<network_address>()> nextPeer;
 };
 
-/** Follows one prefix of the key-value service over its own connection. */
+/** The path below which a router hands its copies of prefixes to the others. */
+inline constexpr char mirrorPath[] = "/mirror/";
+
+/**
+ * Follows one prefix of the key-value service over its own connection. While the service does not
+ * answer this router, the copies of other routers are asked for.
+ */
 class mirror_session
 {
 public:
@@ -32,10 +42,14 @@
     void start();
     void stop();
     const mirror_follower &follower() const { return m_follower; }
-    /** A full listing came from another source. */
-    void applyForeign(const std::vector<stored_item> &items, std::int64_t at);
+    /** The copy for another router that knows everything up to a revision; empty when it is no
+     * news. */
+    std::string copyAfter(std::int64_t revision) const;
 
 private:
+    void schedulePeerCall();
+    void callPeer();
+    void onCopy(const network_address &peer, const std::optional<http_result> &result);
     void step();
     void run(const follower_step &step);
     void onResult(const follower_step &step, const std::optional<http_result> &result);
@@ -49,6 +63,10 @@
     mirror_follower m_follower;
     mirror_callbacks m_callbacks;
     bool m_wasInTouch = false;
+    boost::asio::io_context &m_loop;
+    boost::asio::steady_timer m_peerTimer;
+    std::unique_ptr<http_client> m_peerClient;
+    bool m_isAskingPeers = false;
 };
 
 } // namespace quetzal
--- a/apps/edge/peer_exchange.cpp
+++ b/apps/edge/peer_exchange.cpp
@@ -17,6 +17,9 @@
 /** With many routers each sends less often, so that all of them together cost one router this. */
 constexpr std::chrono::milliseconds intervalPerPeer {15};
 
+/** Senders that are remembered. */
+constexpr std::size_t mostHeard = 64;
+
 udp::endpoint endpointAt(const std::string &host, std::uint16_t port)
 {
     error_code error;
@@ -43,14 +46,14 @@
 
 void peer_exchange::receive()
 {
-    m_socket.async_receive(boost::asio::buffer(m_buffer),
-                           [this](const error_code &error, std::size_t bytes) {
-                               if (error == boost::asio::error::operation_aborted)
-                                   return;
-                               if (!error)
-                                   onDatagram(bytes);
-                               receive();
-                           });
+    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender,
+                                [this](const error_code &error, std::size_t bytes) {
+                                    if (error == boost::asio::error::operation_aborted)
+                                        return;
+                                    if (!error)
+                                        onDatagram(bytes);
+                                    receive();
+                                });
 }
 
 void peer_exchange::onDatagram(std::size_t bytes)
@@ -59,9 +62,23 @@
     if (!digest)
         return;
     ++m_received;
+    if (m_heard.size() < mostHeard)
+        m_heard.insert(m_sender.address().to_string());
     m_node.onDigest(*digest, edgeNow());
 }
 
+std::optional<network_address> peer_exchange::nextPeer()
+{
+    std::vector<std::string> hosts = m_peers;
+    for (const std::string &host : m_heard) {
+        if (std::find(hosts.begin(), hosts.end(), host) == hosts.end())
+            hosts.push_back(host);
+    }
+    if (hosts.empty())
+        return std::nullopt;
+    return network_address {.host = hosts[m_turn++ % hosts.size()], .port = m_port};
+}
+
 void peer_exchange::scheduleSend()
 {
     const auto peers = static_cast<int>(m_peers.size());
--- a/apps/edge/peer_exchange.h
+++ b/apps/edge/peer_exchange.h
@@ -3,12 +3,14 @@
 #include "directory/target/target_record.h"
 #include "forwarding/node/forwarding_node.h"
 
+#include <absl/container/flat_hash_set.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +27,8 @@
     void start();
     /** Replaces the hosts of the other routers. */
     void setPeers(std::vector<std::string> hosts) { m_peers = std::move(hosts); }
+    /** The next router, in turn, of those that were named or heard; nothing when there is none. */
+    std::optional<network_address> nextPeer();
     std::int64_t sent() const { return m_sent; }
     std::int64_t received() const { return m_received; }
 
@@ -39,6 +43,10 @@
     forwarding_node &m_node;
     std::uint16_t m_port;
     std::vector<std::string> m_peers;
+    /** Where datagrams came from although nobody named their senders. */
+    absl::flat_hash_set<std::string> m_heard;
+    std::size_t m_turn = 0;
+    boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 16384> m_buffer {};
     std::int64_t m_sent = 0;
     std::int64_t m_received = 0;
--- a/apps/edge/request_run.cpp
+++ b/apps/edge/request_run.cpp
@@ -18,6 +18,8 @@
 /** Requests that may not be repeated use only connections that were idle for less. */
 constexpr absl::Duration freshIdle = absl::Milliseconds(2500);
 constexpr absl::Duration anyIdle = absl::Seconds(60);
+/** Longer bodies are passed on before they are whole. */
+constexpr std::size_t mostWholeBytes = std::size_t {1024} * 1024;
 constexpr int statusBadRequest = 400;
 constexpr int statusServerError = 500;
 constexpr int statusBadGateway = 502;
@@ -129,12 +131,12 @@
         retryOrFail(attempt_failure::NotSent);
         return;
     }
-    ++m_context.counts.sends;
+    m_context.metrics.onSend();
     const request_head head = platform::toTarget(m_head,
                                                  {.target = where.target,
                                                   .workspace = m_admitted->workspace,
                                                   .timeLeft = m_admitted->dueAt - now,
-                                                  .lastEventId = {}});
+                                                  .lastEventId = m_events.lastId()});
     const bool hasBody = !m_body.empty() || m_head.fields.find("Content-Length") != nullptr
         || m_head.fields.find("Transfer-Encoding") != nullptr;
     std::string bytes = toBytes(head, hasBody ? std::optional(m_body.size()) : std::nullopt);
@@ -189,27 +191,46 @@
     const bool isStream = m_answer.isSuccess() && m_admitted->rule->kind == request_kind::Stream;
     m_relay = isStream ? relay::StreamPending : relay::Whole;
     if (!isStream && !m_answer.isUnrun) {
-        m_answerBegan = true;
-        m_context.node.onAnswerBegan(m_number, m_target, edgeNow());
+        onAnswerBegan();
     }
     return answer_use::Accept;
 }
 
+void request_run::onAnswerBegan()
+{
+    m_answerBegan = true;
+    m_context.node.onAnswerBegan(m_number, m_target, edgeNow());
+    m_context.metrics.onFirstByte(m_admitted->rule->kind, age());
+}
+
 void request_run::onBody(const std::string &text)
 {
     if (m_relay == relay::Whole) {
         m_answerBody += text;
+        if (m_answer.isSuccess() && m_answerBody.size() > mostWholeBytes) {
+            m_relay = relay::StreamPending;
+            startStream();
+            passOn(std::exchange(m_answerBody, {}));
+        }
         return;
     }
-    if (!std::exchange(m_answerBegan, true))
-        m_context.node.onAnswerBegan(m_number, m_target, edgeNow());
+    if (!m_answerBegan)
+        onAnswerBegan();
+    const std::string whole = m_admitted->rule->isResumable ? m_events.add(text) : text;
+    if (whole.empty())
+        return;
     if (m_relay == relay::StreamPending)
         startStream();
+    passOn(whole);
+}
+
+void request_run::passOn(const std::string &text)
+{
     const auto caller = m_caller.lock();
     if (!caller)
         return;
     caller->send(toChunk(text));
-    if (caller->pendingBytes() > mostPendingBytes)
+    if (m_connection && caller->pendingBytes() > mostPendingBytes)
         m_connection->setPaused(true);
 }
 
@@ -219,6 +240,8 @@
     if (!caller)
         return;
     m_relay = relay::Streaming;
+    if (std::exchange(m_headPassed, true))
+        return;
     caller->send(toBytes(platform::toCaller(m_answerHead),
                          {.framing = body_framing::Chunked, .close = !caller->mayStayOpen()}));
     const std::weak_ptr<request_run> weak = weak_from_this();
@@ -260,6 +283,7 @@
         startStream();
     if (m_relay == relay::Streaming) {
         const auto caller = m_caller.lock();
+        passOn(m_events.takeRest());
         logEnd("answered", m_answerHead.status, 0);
         finish();
         if (caller) {
@@ -274,7 +298,7 @@
 
 void request_run::relayWhole()
 {
-    if (promisesUnrun(m_answerHead.status)) {
+    if (m_headPassed || promisesUnrun(m_answerHead.status)) {
         fail(false);
         return;
     }
@@ -297,14 +321,20 @@
     const attempt_failure failure = sent ? attempt_failure::AnswerLost : attempt_failure::NotSent;
     m_context.node.onEnded(m_number, m_target, sent ? exchange_end::Lost : exchange_end::NotSent,
                            edgeNow());
-    if (m_relay == relay::Streaming) {
+    if (m_relay == relay::Streaming && !mayResume()) {
         m_history = after(m_history, failure);
         abortAnswer("stream_broken");
         return;
     }
+    m_events.takeRest();
     retryOrFail(failure);
 }
 
+bool request_run::mayResume() const
+{
+    return m_admitted->rule->isResumable && !m_events.lastId().empty();
+}
+
 void request_run::releaseTarget(exchange_end end)
 {
     const absl::Time now = edgeNow();
@@ -323,10 +353,11 @@
     if (!m_connection && failure == attempt_failure::NotSent)
         m_context.node.onEnded(m_number, m_target, exchange_end::Cancelled, edgeNow());
     m_history = after(m_history, failure);
+    m_context.metrics.onAttemptFailed(toText(failure));
     m_context.log.line("attempt_failed")
         .text("request", m_description.id)
         .text("target", m_target)
-        .number("failure", static_cast<int>(failure))
+        .text("failure", toText(failure))
         .number("ageMs", absl::ToInt64Milliseconds(age()));
     const absl::Time now = edgeNow();
     const bool mayPlace = now < m_admitted->dueAt && mayTryAgain(*m_admitted->rule, m_history)
@@ -352,6 +383,10 @@
 
 void request_run::reject(const rejection &reason)
 {
+    if (m_headPassed) {
+        abortAnswer("stream_broken");
+        return;
+    }
     const auto caller = m_caller.lock();
     logEnd(m_history.isUnrun() ? "rejected" : "failed", reason.status,
            static_cast<int>(reason.code));
@@ -375,7 +410,7 @@
         m_history = after(m_history, attempt_failure::AnswerLost);
         releaseTarget(exchange_end::Cancelled);
     }
-    if (m_relay == relay::Streaming)
+    if (m_headPassed)
         abortAnswer("timed_out");
     else
         fail(true);
@@ -385,7 +420,6 @@
 {
     if (m_isFinished)
         return;
-    ++m_context.counts.callersGone;
     if (m_connection)
         releaseTarget(exchange_end::Cancelled);
     logEnd("caller_gone", 0, static_cast<int>(result_code::CallerGone));
@@ -409,12 +443,7 @@
 
 void request_run::logEnd(std::string_view outcome, int status, int code)
 {
-    if (outcome == "answered")
-        ++m_context.counts.answered;
-    else if (outcome == "rejected")
-        ++m_context.counts.rejected;
-    else if (outcome != "caller_gone")
-        ++m_context.counts.failed;
+    m_context.metrics.onEnd(std::string(outcome), code, age());
     m_context.log.line("request_ended")
         .text("request", m_description.id)
         .text("outcome", outcome)
--- a/apps/edge/request_run.h
+++ b/apps/edge/request_run.h
@@ -6,6 +6,7 @@
 #include "forwarding/request/attempt_rules.h"
 #include "forwarding/request/request_description.h"
 #include "http/message/message_head.h"
+#include "http/stream/event_scanner.h"
 
 #include <absl/container/flat_hash_set.h>
 #include <absl/time/time.h>
@@ -45,6 +46,7 @@
     void place();
     void send(const placement &where);
     answer_use onHead(const response_head &head);
+    void onAnswerBegan();
     void onBody(const std::string &text);
     void onComplete();
     void onFailed(bool sent);
@@ -56,6 +58,8 @@
     void fail(bool timedOut);
     void relayWhole();
     void startStream();
+    void passOn(const std::string &text);
+    bool mayResume() const;
     void abortAnswer(std::string_view reason);
     void finish();
     void logEnd(std::string_view outcome, int status, int code);
@@ -80,7 +84,11 @@
     answer_description m_answer;
     std::string m_answerBody;
     absl::Time m_sentAt = absl::InfinitePast();
+    /** Finds whole events in streams that may go on at another target. */
+    event_scanner m_events;
     bool m_answerBegan = false;
+    /** True once the head of an answer was passed on, after which only its body may follow. */
+    bool m_headPassed = false;
     bool m_isFinished = false;
 };
 
--- a/modules/budgets/retry/shared_retry_budget.cpp
+++ b/modules/budgets/retry/shared_retry_budget.cpp
@@ -18,6 +18,12 @@
         .first->second;
 }
 
+void shared_retry_budget::setLimits(const retry_limits &limits)
+{
+    m_limits.ratio = limits.ratio;
+    m_limits.allowance = limits.allowance;
+}
+
 void shared_retry_budget::onRequest(const std::string &service, absl::Time now)
 {
     accountOf(service).requests.add(now);
--- a/modules/budgets/retry/shared_retry_budget.h
+++ b/modules/budgets/retry/shared_retry_budget.h
@@ -30,6 +30,8 @@
 
     explicit shared_retry_budget(retry_limits limits);
 
+    /** Replaces the ratio and the allowance; the window stays as it is. */
+    void setLimits(const retry_limits &limits);
     /** A request for the service arrived. */
     void onRequest(const std::string &service, absl::Time now);
     /** Takes one repeat if the budget holds one; routers: how many share it. */
--- a/modules/directory/directory.h
+++ b/modules/directory/directory.h
@@ -7,6 +7,7 @@
  * that is kept from it. Depends on foundation; opens no connection and reads no clock.
  */
 
+#include "directory/mirror/mirror_codec.h"
 #include "directory/mirror/mirror_follower.h"
 #include "directory/mirror/mirror_messages.h"
 #include "directory/mirror/prefix_mirror.h"
--- /dev/null
+++ b/modules/directory/mirror/mirror_codec.cpp
@@ -0,0 +1,37 @@
+#include "directory/mirror/mirror_codec.h"
+
+#include <nlohmann/json.hpp>
+
+namespace quetzal {
+
+std::string encodeMirror(const listing_page &page)
+{
+    nlohmann::json rows = nlohmann::json::array();
+    for (const stored_item &item : page.items) {
+        const auto begin = reinterpret_cast<const std::uint8_t *>(item.value.data());
+        rows.push_back(
+            {item.key, item.revision, nlohmann::json::binary({begin, begin + item.value.size()})});
+    }
+    std::string bytes;
+    nlohmann::json::to_msgpack(nlohmann::json::array({page.at, std::move(rows)}), bytes);
+    return bytes;
+}
+
+std::optional<listing_page> decodeMirror(std::string_view bytes)
+{
+    const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    try {
+        listing_page page {.at = document.at(0).get<std::int64_t>()};
+        for (const nlohmann::json &row : document.at(1)) {
+            const auto &value = row.at(2).get_binary();
+            page.items.push_back({.key = row.at(0).get<std::string>(),
+                                  .value = std::string(value.begin(), value.end()),
+                                  .revision = row.at(1).get<std::int64_t>()});
+        }
+        return page;
+    } catch (const nlohmann::json::exception &) {
+        return std::nullopt;
+    }
+}
+
+} // namespace quetzal
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -55,7 +55,7 @@
 
 forwarding_node::forwarding_node(forwarding_options options)
     : m_options(std::move(options))
-    , m_repeats(m_options.retries)
+    , m_repeats(m_options.fleet.retries)
 {
 }
 
@@ -67,6 +67,12 @@
     return true;
 }
 
+void forwarding_node::setFleetLimits(const fleet_limits &limits)
+{
+    m_options.fleet = limits;
+    m_repeats.setLimits(limits.retries);
+}
+
 void forwarding_node::applyTarget(const target_record &record, bool wasListedAtStart,
                                   absl::Time now)
 {
@@ -159,8 +165,8 @@
 
 int forwarding_node::coldPermits(const service_description &service) const
 {
-    return static_cast<int>(
-        std::floor(service.coldRequestsPerSecond * m_options.coldFactor + m_options.coldAllowance));
+    return static_cast<int>(std::floor(service.coldRequestsPerSecond * m_options.fleet.coldFactor
+                                       + m_options.fleet.coldAllowance));
 }
 
 target_candidate forwarding_node::candidateFor(const target_state &state,
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -34,6 +34,8 @@
     bool setRoutes(std::shared_ptr<const route_table> table);
     const std::shared_ptr<const route_table> &routes() const { return m_table; }
     void setRouters(router_group routers) { m_options.routers = std::move(routers); }
+    /** Puts changed limits of the fleet in force. */
+    void setFleetLimits(const fleet_limits &limits);
     const router_group &routers() const { return m_options.routers; }
 
     target_directory &directory() { return m_directory; }
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -17,17 +17,25 @@
 
 namespace quetzal {
 
-/** Options of forwarding_node. */
-struct forwarding_options
+/** Limits that all routers of the fleet keep together. */
+struct fleet_limits
 {
-    /** The data centre of this router. */
-    std::string dataCentre;
-    router_group routers;
     retry_limits retries;
     /** Requests a second that cold targets may get over what they bear, as a factor. */
     double coldFactor = 1.0;
     /** The same, as requests on top. */
     double coldAllowance = 0.0;
+
+    bool operator==(const fleet_limits &) const = default;
+};
+
+/** Options of forwarding_node. */
+struct forwarding_options
+{
+    /** The data centre of this router. */
+    std::string dataCentre;
+    router_group routers;
+    fleet_limits fleet;
     choice_weights weights;
     backlog_limits limits;
     /** Tells the lives of this router apart in what it tells the others. */
--- a/modules/forwarding/request/attempt_rules.cpp
+++ b/modules/forwarding/request/attempt_rules.cpp
@@ -14,6 +14,21 @@
 
 } // namespace
 
+std::string toText(attempt_failure failure)
+{
+    switch (failure) {
+    case attempt_failure::NotSent:
+        return "not_sent";
+    case attempt_failure::RefusedUnrun:
+        return "refused_unrun";
+    case attempt_failure::AnswerLost:
+        return "answer_lost";
+    case attempt_failure::Failed:
+        return "failed";
+    }
+    return "";
+}
+
 attempt_history after(const attempt_history &history, attempt_failure failure)
 {
     attempt_history next = history;
--- a/modules/forwarding/request/attempt_rules.h
+++ b/modules/forwarding/request/attempt_rules.h
@@ -22,6 +22,9 @@
     Failed,
 };
 
+/** The name of a failure in logs and metrics. */
+std::string toText(attempt_failure failure);
+
 /** What happened to a request so far. */
 struct attempt_history
 {
--- a/modules/http/http.h
+++ b/modules/http/http.h
@@ -12,3 +12,4 @@
 #include "http/message/message_head.h"
 #include "http/message/request_reader.h"
 #include "http/message/response_reader.h"
+#include "http/stream/event_scanner.h"
--- /dev/null
+++ b/modules/http/stream/event_scanner.cpp
@@ -0,0 +1,65 @@
+#include "http/stream/event_scanner.h"
+
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+/** The length of the blank line that ends an event at this position; 0 when there is none. */
+std::size_t eventEndAt(std::string_view text, std::size_t position)
+{
+    for (const std::string_view end : {"\n\n", "\r\n\r\n"}) {
+        if (text.substr(position, end.size()) == end)
+            return end.size();
+    }
+    return 0;
+}
+
+} // namespace
+
+std::string event_scanner::add(std::string_view bytes)
+{
+    constexpr std::size_t longestEnd = 4;
+    std::size_t position = m_rest.size() < longestEnd ? 0 : m_rest.size() - longestEnd;
+    m_rest.append(bytes);
+    std::size_t wholeEnd = 0;
+    while (position < m_rest.size()) {
+        const std::size_t length = eventEndAt(m_rest, position);
+        if (length == 0) {
+            ++position;
+            continue;
+        }
+        position += length;
+        readId(std::string_view(m_rest).substr(wholeEnd, position - wholeEnd));
+        wholeEnd = position;
+    }
+    std::string whole = m_rest.substr(0, wholeEnd);
+    m_rest.erase(0, wholeEnd);
+    return whole;
+}
+
+void event_scanner::readId(std::string_view event)
+{
+    constexpr std::string_view name = "id:";
+    while (!event.empty()) {
+        const std::size_t end = event.find('\n');
+        std::string_view line = event.substr(0, end);
+        event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+        if (!line.starts_with(name))
+            continue;
+        line.remove_prefix(name.size());
+        if (line.starts_with(' '))
+            line.remove_prefix(1);
+        if (line.ends_with('\r'))
+            line.remove_suffix(1);
+        m_lastId = line;
+    }
+}
+
+std::string event_scanner::takeRest()
+{
+    return std::exchange(m_rest, {});
+}
+
+} // namespace quetzal
--- a/tests/forwarding/forwarding_node_test.cpp
+++ b/tests/forwarding/forwarding_node_test.cpp
@@ -56,9 +56,9 @@
 {
     return {.dataCentre = "north",
             .routers = {.self = vm, .members = fleet},
-            .retries = {.window = absl::Seconds(10), .ratio = 0.2, .allowance = 60.0},
-            .coldFactor = 1.5,
-            .coldAllowance = 5.0};
+            .fleet = {.retries = {.window = absl::Seconds(10), .ratio = 0.2, .allowance = 60.0},
+                      .coldFactor = 1.5,
+                      .coldAllowance = 5.0}};
 }
 
 request_description chat(const std::string &id, const std::string &key, std::uint64_t part,
--- /dev/null
+++ b/tests/http/event_scanner_test.cpp
@@ -0,0 +1,43 @@
+#include "http/http.h"
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+
+#include <string>
+
+using namespace quetzal;
+
+TEST_CASE("whole events are found in a stream", "[http]")
+{
+    const std::string stream = "id: 1\ndata: a\n\nx-weight-versions: 2\nid: 2\ndata: b\n\nid:3\r\n"
+                               "data: c\r\n\r\ndata: d\n\n";
+    SECTION("at once")
+    {
+        event_scanner scanner;
+        CHECK(scanner.add(stream) == stream);
+        CHECK(scanner.lastId() == "3");
+        CHECK(scanner.takeRest().empty());
+    }
+
+    SECTION("a broken one is held back, and the last whole one is known")
+    {
+        event_scanner scanner;
+        CHECK(scanner.add("id: 1\ndata: a\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+        CHECK(scanner.lastId() == "1");
+        CHECK(scanner.takeRest() == "id: 2\nda");
+    }
+
+    rc::check("the same bytes come out however they are split", [&stream] {
+        event_scanner scanner;
+        std::string passed;
+        std::size_t position = 0;
+        while (position < stream.size()) {
+            const auto length = static_cast<std::size_t>(*rc::gen::inRange(1, 9));
+            passed += scanner.add(std::string_view(stream).substr(position, length));
+            RC_ASSERT(passed.empty() || passed.ends_with("\n\n") || passed.ends_with("\r\n\r\n"));
+            position += length;
+        }
+        RC_ASSERT(passed == stream);
+        RC_ASSERT(scanner.lastId() == "3");
+    });
+}
