Copies of the store are really asked for

Log lines of copies name source, status and revision. The client of outside services now lives until its last callback (it was destroyed with callbacks under way when it was replaced).

--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -86,26 +86,27 @@
     , m_peers(m_loop, m_node,
               {.host = m_settings.callers.host, .port = m_settings.firstInternalPort})
     , m_configuration(m_loop, m_log, m_settings.store, platform::operatorPrefix,
-                      {.onChanges =
-                           [this](const auto &changes, bool) {
-                               onConfiguration(changes);
+                      {.onChanges = [this](const auto &news, bool) { onConfiguration(news); },
+                       .onTouch = {},
+                       .nextPeer =
+                           [this] {
+                               return m_peers.nextPeer();
                            }})
-    , m_targets(
-          m_loop, m_log, m_settings.store, platform::targetPrefix,
-          {.onChanges = [this](const auto &changes, bool first) { onTargets(changes, first); },
-           .onTouch =
-               [this](bool inTouch) {
-                   if (inTouch)
-                       m_node.directory().onListBack(edgeNow());
-                   else
-                       m_node.directory().onListLost(edgeNow());
-               }})
+    , m_targets(m_loop, m_log, m_settings.store, platform::targetPrefix,
+                {.onChanges = [this](const auto &news, bool first) { onTargets(news, first); },
+                 .onTouch = [this](bool inTouch) { onTargetsTouch(inTouch); },
+                 .nextPeer =
+                     [this] {
+                         return m_peers.nextPeer();
+                     }})
     , m_members(m_loop, m_log, m_settings.store, memberPrefix,
-                {.onChanges =
-                     [this](const auto &, bool) {
-                         onMembers();
+                {.onChanges = [this](const auto &, bool) { onMembers(); },
+                 .onTouch = {},
+                 .nextPeer =
+                     [this] {
+                         return m_peers.nextPeer();
                      }})
-    , m_announcer(m_loop, m_settings.store)
+    , m_announcer(std::make_shared<http_client>(m_loop, m_settings.store))
     , m_callers(m_loop, m_settings.callers, [this](auto socket) { onCaller(std::move(socket)); })
     , m_readiness(m_loop, m_settings.readiness,
                   pages([this](const std::string &path) { return statusPage(path); }))
@@ -201,6 +202,14 @@
     }
 }
 
+void edge_process::onTargetsTouch(bool inTouch)
+{
+    if (inTouch)
+        m_node.directory().onListBack(edgeNow());
+    else
+        m_node.directory().onListLost(edgeNow());
+}
+
 void edge_process::onMembers()
 {
     router_group group {.self = m_settings.vm, .members = {m_settings.vm}};
@@ -231,14 +240,14 @@
         return;
     m_isAnnouncing = true;
     const platform::store_call call = platform::writeCall(key, m_settings.callers.host);
-    m_announcer.call({.method = call.method,
-                      .target = call.target,
-                      .body = call.body,
-                      .timeout = announceTimeout},
-                     [this](const std::optional<http_result> &result) {
-                         m_isAnnouncing = false;
-                         m_isAnnounced = result && result->status == statusOk;
-                     });
+    m_announcer->call({.method = call.method,
+                       .target = call.target,
+                       .body = call.body,
+                       .timeout = announceTimeout},
+                      [this](const std::optional<http_result> &result) {
+                          m_isAnnouncing = false;
+                          m_isAnnounced = result && result->status == statusOk;
+                      });
 }
 
 void edge_process::waitForSignal()
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -39,6 +39,7 @@
     void onCaller(boost::asio::ip::tcp::socket socket);
     void onConfiguration(const std::vector<key_change> &changes);
     void onTargets(const std::vector<key_change> &changes, bool first);
+    void onTargetsTouch(bool inTouch);
     void onMembers();
     void announce();
     void waitForSignal();
@@ -70,7 +71,7 @@
     mirror_session m_configuration;
     mirror_session m_targets;
     mirror_session m_members;
-    http_client m_announcer;
+    std::shared_ptr<http_client> m_announcer;
     bool m_isAnnouncing = false;
     bool m_isAnnounced = false;
     listener m_callers;
--- a/apps/edge/http_client.cpp
+++ b/apps/edge/http_client.cpp
@@ -32,7 +32,7 @@
     m_input.clear();
     const std::uint64_t generation = ++m_generation;
     m_timer.expires_after(absl::ToChronoNanoseconds(m_call.timeout));
-    m_timer.async_wait([this, generation](const error_code &error) {
+    m_timer.async_wait([this, self = shared_from_this(), generation](const error_code &error) {
         if (error || generation != m_generation)
             return;
         close();
@@ -49,45 +49,48 @@
 {
     m_isReused = false;
     const std::uint64_t generation = m_generation;
-    m_socket.async_connect(endpointOf(m_address), [this, generation](const error_code &error) {
-        if (generation != m_generation)
-            return;
-        if (error) {
-            close();
-            finish(std::nullopt);
-            return;
-        }
-        setConnectionOptions(m_socket);
-        send();
-    });
+    m_socket.async_connect(endpointOf(m_address),
+                           [this, self = shared_from_this(), generation](const error_code &error) {
+                               if (generation != m_generation)
+                                   return;
+                               if (error) {
+                                   close();
+                                   finish(std::nullopt);
+                                   return;
+                               }
+                               setConnectionOptions(m_socket);
+                               send();
+                           });
 }
 
 void http_client::send()
 {
     const std::uint64_t generation = m_generation;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_request),
-                             [this, generation](const error_code &error, std::size_t) {
-                                 if (generation != m_generation)
-                                     return;
-                                 if (error)
-                                     onBroken();
-                                 else
-                                     read();
-                             });
+    boost::asio::async_write(
+        m_socket, boost::asio::buffer(m_request),
+        [this, self = shared_from_this(), generation](const error_code &error, std::size_t) {
+            if (generation != m_generation)
+                return;
+            if (error)
+                onBroken();
+            else
+                read();
+        });
 }
 
 void http_client::read()
 {
     const std::uint64_t generation = m_generation;
-    m_socket.async_read_some(boost::asio::buffer(m_buffer),
-                             [this, generation](const error_code &error, std::size_t count) {
-                                 if (generation != m_generation)
-                                     return;
-                                 if (error)
-                                     onBroken();
-                                 else
-                                     onBytes(count);
-                             });
+    m_socket.async_read_some(
+        boost::asio::buffer(m_buffer),
+        [this, self = shared_from_this(), generation](const error_code &error, std::size_t count) {
+            if (generation != m_generation)
+                return;
+            if (error)
+                onBroken();
+            else
+                onBytes(count);
+        });
 }
 
 void http_client::onBytes(std::size_t count)
--- a/apps/edge/http_client.h
+++ b/apps/edge/http_client.h
@@ -9,7 +9,9 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -33,12 +35,8 @@
     std::string body;
 };
 
-/**
- * Calls one server, one call after another, over a connection that is kept between the calls.
- *
- * The object must outlive the event loop's run or be stopped before.
- */
-class http_client
+/** Calls one server, one call after another, over a connection that is kept between the calls. */
+class http_client : public std::enable_shared_from_this<http_client>
 {
 public:
     /** Gets the answer, or nothing when there was none in time. */
--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -17,6 +17,7 @@
 constexpr absl::Duration callTimeout = absl::Milliseconds(800);
 constexpr absl::Duration listTimeout = absl::Milliseconds(1500);
 constexpr int statusOk = 200;
+constexpr int statusNoContent = 204;
 /** The pause between calls to other routers while the store does not answer. */
 constexpr std::chrono::milliseconds peerPause {400};
 constexpr absl::Duration peerTimeout = absl::Milliseconds(600);
@@ -28,7 +29,7 @@
                                mirror_callbacks callbacks)
     : m_timer(loop)
     , m_log(log)
-    , m_client(loop, store)
+    , m_client(std::make_shared<http_client>(loop, store))
     , m_follower(std::move(prefix))
     , m_callbacks(std::move(callbacks))
     , m_loop(loop)
@@ -45,7 +46,9 @@
 {
     m_timer.cancel();
     m_peerTimer.cancel();
-    m_client.stop();
+    m_client->stop();
+    if (m_peerClient)
+        m_peerClient->stop();
     m_peerClient.reset();
 }
 
@@ -70,7 +73,7 @@
     const platform::store_call call = isWatch
         ? platform::watchCall(prefix, step.revision, watchWait)
         : platform::listCall(prefix, step.afterKey);
-    m_client.call(
+    m_client->call(
         {.method = call.method,
          .target = call.target,
          .body = call.body,
@@ -150,7 +153,7 @@
         return;
     }
     m_isAskingPeers = true;
-    m_peerClient = std::make_unique<http_client>(m_loop, *peer);
+    m_peerClient = std::make_shared<http_client>(m_loop, *peer);
     const prefix_mirror &mirror = m_follower.mirror();
     const std::int64_t known = mirror.isComplete() ? mirror.revision() : 0;
     m_peerClient->call(
@@ -164,11 +167,14 @@
     m_isAskingPeers = false;
     const auto page
         = result && result->status == statusOk ? decodeMirror(result->body) : std::nullopt;
-    if (page) {
-        m_log.line("copy_taken")
+    const bool isNoNews = result && result->status == statusNoContent;
+    if (!isNoNews)
+        m_log.line(page ? "copy_taken" : "copy_not_taken")
             .text("prefix", m_follower.mirror().prefix())
             .text("from", peer.host)
-            .number("revision", page->at);
+            .number("status", result ? result->status : 0)
+            .number("revision", page ? page->at : m_follower.mirror().revision());
+    if (page) {
         const bool first = !m_follower.mirror().isComplete();
         tell(m_follower.onForeignListing(page->items, page->at), first);
     }
--- a/apps/edge/mirror_session.h
+++ b/apps/edge/mirror_session.h
@@ -59,13 +59,13 @@
 
     boost::asio::steady_timer m_timer;
     event_log &m_log;
-    http_client m_client;
+    std::shared_ptr<http_client> m_client;
     mirror_follower m_follower;
     mirror_callbacks m_callbacks;
     bool m_wasInTouch = false;
     boost::asio::io_context &m_loop;
     boost::asio::steady_timer m_peerTimer;
-    std::unique_ptr<http_client> m_peerClient;
+    std::shared_ptr<http_client> m_peerClient;
     bool m_isAskingPeers = false;
 };
 
