Callers that left are not served; rejected connections are closed; idle ones are bounded

Ruled out: processor (0.07 cores at most of 0.25). Now a rejection closes its connection, the longest idle connections are closed above a third of the descriptors, and the end of the connection is looked for before a request is sent.

--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -7,7 +7,9 @@
 
 #include <boost/asio/write.hpp>
 
+#include <cerrno>
 #include <chrono>
+#include <sys/socket.h>
 #include <utility>
 
 namespace quetzal {
@@ -41,6 +43,7 @@
     : m_context(context)
     , m_socket(std::move(socket))
     , m_timer(context.loop)
+    , m_idleSince(edgeNow())
 {
 }
 
@@ -154,8 +157,23 @@
     finishAnswer(true);
 }
 
+bool caller_connection::hasCallerLeft()
+{
+    char next = 0;
+    const ssize_t peeked
+        = recv(m_socket.native_handle(), &next, sizeof next, MSG_PEEK | MSG_DONTWAIT);
+    const bool isBroken = peeked < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+    return peeked == 0 || isBroken;
+}
+
 void caller_connection::startRequest()
 {
+    if (m_input.empty() && hasCallerLeft()) {
+        m_context.log.line("caller_gone_before_start")
+            .number("ageMs", absl::ToInt64Milliseconds(edgeNow() - m_firstByteAt));
+        close();
+        return;
+    }
     m_keepAlive = m_reader->head().keepAlive;
     m_timer.cancel();
     m_context.metrics.onRequest();
@@ -209,6 +227,7 @@
 {
     const auto self = shared_from_this();
     m_run.reset();
+    m_idleSince = edgeNow();
     m_onDrained = nullptr;
     dropHeldBytes();
     if (close) {
@@ -240,10 +259,12 @@
     close();
 }
 
-void caller_connection::closeIfIdle()
+bool caller_connection::closeIfIdle()
 {
-    if (!m_isClosing && isIdle() && !m_reader)
-        close();
+    if (m_isClosing || !isIdle() || m_reader)
+        return false;
+    close();
+    return true;
 }
 
 void caller_connection::close()
--- a/apps/edge/caller_connection.h
+++ b/apps/edge/caller_connection.h
@@ -30,8 +30,13 @@
     void finishAnswer(bool close);
     /** Breaks the connection off, so that an answer under way does not look complete. */
     void abort();
-    /** Closes the connection if no request is under way. */
-    void closeIfIdle();
+    /** Closes the connection if no request is under way; true when it did. */
+    bool closeIfIdle();
+    /** Since when no request was under way; the future while one is. */
+    absl::Time idleSince() const
+    {
+        return m_run || m_reader ? absl::InfiniteFuture() : m_idleSince;
+    }
     bool isIdle() const { return !m_run && m_input.empty(); }
     /** Bytes that the caller has not taken yet. */
     std::size_t pendingBytes() const { return m_writing.size() + m_pending.size(); }
@@ -49,6 +54,7 @@
     void process();
     void onFault(request_fault fault);
     void startRequest();
+    bool hasCallerLeft();
     void write();
     void beginLingeringClose();
     void close();
@@ -67,6 +73,7 @@
     std::string m_writing;
     std::function<void()> m_onDrained;
     std::function<void()> m_onClosed;
+    absl::Time m_idleSince;
     absl::Time m_firstByteAt = absl::InfinitePast();
     std::size_t m_heldBytes = 0;
     bool m_keepAlive = true;
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -37,6 +37,11 @@
 constexpr std::size_t heldMemoryPart = 4;
 constexpr std::size_t usualMemoryMegabytes = 256;
 constexpr std::size_t bytesPerMegabyte = std::size_t {1024} * 1024;
+constexpr int usualFileDescriptors = 1024;
+/** One part in so many of the descriptors is for callers that may be idle. */
+constexpr int callerDescriptorPart = 3;
+/** One part in so many of the connections is closed at once when there are too many. */
+constexpr std::size_t idlePartClosed = 8;
 /** Requests a second to a cold target stay below the limit by this factor. */
 constexpr double coldSafety = 0.9;
 
@@ -57,6 +62,14 @@
             .life = static_cast<std::uint64_t>(absl::ToUnixMillis(absl::Now()))};
 }
 
+/** Connections from callers above which idle ones are closed. */
+std::size_t mostCallerConnections(const edge_settings &settings)
+{
+    const int descriptors
+        = settings.fileDescriptors > 0 ? settings.fileDescriptors : usualFileDescriptors;
+    return static_cast<std::size_t>(descriptors / callerDescriptorPart);
+}
+
 std::size_t mostHeldBytes(const edge_settings &settings)
 {
     const std::size_t megabytes = settings.memoryMegabytes > 0
@@ -142,6 +155,28 @@
     const std::weak_ptr<caller_connection> weak = connection;
     connection->setOnClosed([this, weak] { m_connections.erase(weak.lock()); });
     connection->start();
+    if (m_connections.size() > mostCallerConnections(m_settings))
+        closeLongestIdle();
+}
+
+void edge_process::closeLongestIdle()
+{
+    std::vector<std::shared_ptr<caller_connection>> idle;
+    for (const auto &connection : m_connections) {
+        if (connection->idleSince() < absl::InfiniteFuture())
+            idle.push_back(connection);
+    }
+    const std::size_t count = std::min(idle.size(), m_connections.size() / idlePartClosed + 1);
+    std::partial_sort(
+        idle.begin(), idle.begin() + static_cast<std::ptrdiff_t>(count), idle.end(),
+        [](const auto &left, const auto &right) { return left->idleSince() < right->idleSince(); });
+    idle.resize(count);
+    std::size_t closed = 0;
+    for (const auto &connection : idle)
+        closed += connection->closeIfIdle() ? 1 : 0;
+    m_log.line("idle_connections_closed")
+        .number("closed", static_cast<std::int64_t>(closed))
+        .number("open", static_cast<std::int64_t>(m_connections.size()));
 }
 
 void edge_process::onConfiguration(const std::vector<key_change> &changes)
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -37,6 +37,7 @@
 
 private:
     void onCaller(boost::asio::ip::tcp::socket socket);
+    void closeLongestIdle();
     void onConfiguration(const std::vector<key_change> &changes);
     void onTargets(const std::vector<key_change> &changes, bool first);
     void onTargetsTouch(bool inTouch);
--- a/apps/edge/request_run.cpp
+++ b/apps/edge/request_run.cpp
@@ -393,7 +393,8 @@
     finish();
     if (!caller)
         return;
-    const bool close = !caller->mayStayOpen();
+    const bool isRejection = m_history.isUnrun();
+    const bool close = isRejection || !caller->mayStayOpen();
     const std::string text = platform::ownBody(reason);
     caller->send(toBytes(platform::ownAnswer(reason, m_description.id),
                          {.length = text.size(), .close = close})
