--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -84,7 +84,6 @@
     : m_settings(std::move(settings))
     , m_lastRead(m_settings)
     , m_readSettings(std::move(readSettings))
-    , m_loop(1)
     , m_log(m_loop, m_settings.vm)
     , m_node(nodeOptions(m_settings))
     , m_pool(m_loop)
@@ -148,6 +147,11 @@
     m_log.flush();
 }
 
+void edge_process::requestStop()
+{
+    boost::asio::post(m_loop, [this] { beginStop(); });
+}
+
 void edge_process::onCaller(boost::asio::ip::tcp::socket socket)
 {
     const auto connection = std::make_shared<caller_connection>(m_context, std::move(socket));
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -34,6 +34,8 @@
 
     /** Serves until the process was told to stop and has finished. */
     void run();
+    /** Begins a graceful stop, as SIGTERM does; may be called from any thread. */
+    void requestStop();
 
 private:
     void onCaller(boost::asio::ip::tcp::socket socket);
--- /dev/null
+++ b/standins/platform/platform_engine.cpp
@@ -0,0 +1,212 @@
+#include "standins/platform/platform_engine.h"
+
+#include <boost/asio/write.hpp>
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <chrono>
+#include <sys/socket.h>
+
+namespace quetzal::standins {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr int lastEvent = 8;
+constexpr int brokenEvent = 4;
+constexpr std::chrono::milliseconds eventPause {5};
+constexpr std::chrono::milliseconds slowStep {20};
+constexpr int slowSteps = 100;
+
+void write(tcp::socket &socket, const std::string &bytes)
+{
+    error_code ignored;
+    boost::asio::write(socket, boost::asio::buffer(bytes), ignored);
+}
+
+bool hasLeft(tcp::socket &socket)
+{
+    char next = 0;
+    return recv(socket.native_handle(), &next, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+}
+
+std::string eventText(int number)
+{
+    return "id: " + std::to_string(number) + "\ndata: piece" + std::to_string(number) + "\n\n";
+}
+
+} // namespace
+
+platform_engine::platform_engine(std::string id, const std::string &ip)
+    : m_id(std::move(id))
+    , m_ip(ip)
+    , m_acceptor(m_loop, tcp::endpoint(boost::asio::ip::make_address_v4(ip), 0))
+    , m_port(m_acceptor.local_endpoint().port())
+    , m_acceptThread([this] { accept(); })
+{
+}
+
+platform_engine::~platform_engine()
+{
+    m_isStopping = true;
+    shutdown(m_acceptor.native_handle(), SHUT_RDWR);
+    m_acceptThread.join();
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[handle, users] : m_open)
+            shutdown(handle, SHUT_RDWR);
+    }
+    for (std::thread &thread : m_threads)
+        thread.join();
+}
+
+std::string platform_engine::entry(const std::string &service, const std::string &state) const
+{
+    return nlohmann::json {{"service", service},
+                           {"address", m_ip + ":" + std::to_string(m_port)},
+                           {"zone", "north"},
+                           {"version", "v1"},
+                           {"slots", 8},
+                           {"state", state},
+                           {"coldRemainingMs", 0},
+                           {"sequence", 1},
+                           {"born", 1}}
+        .dump();
+}
+
+std::vector<engine_arrival> platform_engine::arrivals()
+{
+    const std::lock_guard lock(m_mutex);
+    return m_arrivals;
+}
+
+void platform_engine::accept()
+{
+    while (!m_isStopping) {
+        tcp::socket socket(m_loop);
+        error_code error;
+        m_acceptor.accept(socket, error);
+        if (error)
+            return;
+        const std::lock_guard lock(m_mutex);
+        ++m_open[socket.native_handle()];
+        m_threads.emplace_back([this, socket = std::move(socket)]() mutable {
+            const int handle = socket.native_handle();
+            serve(std::move(socket));
+            const std::lock_guard ended(m_mutex);
+            m_open.erase(handle);
+        });
+    }
+}
+
+void platform_engine::serve(tcp::socket socket)
+{
+    std::string input;
+    std::array<char, 8192> buffer {};
+    while (!m_isStopping) {
+        request_reader request({.headBytes = 65536, .bodyBytes = 10000000});
+        while (!request.isComplete()) {
+            input.erase(0, request.consume(input));
+            if (request.isComplete())
+                break;
+            error_code error;
+            const std::size_t count = socket.read_some(boost::asio::buffer(buffer), error);
+            if (error || request.fault() != request_fault::None)
+                return;
+            input.append(buffer.data(), count);
+        }
+        if (!answer(socket, request))
+            return;
+    }
+}
+
+std::size_t platform_engine::note(const request_reader &request, bool ran)
+{
+    const header_fields &fields = request.head().fields;
+    const std::lock_guard lock(m_mutex);
+    m_arrivals.push_back({.requestId = std::string(fields.valueOf("X-Attempt-Id")),
+                          .lastEventId = std::string(fields.valueOf("Last-Event-Id")),
+                          .tenant = std::string(fields.valueOf("X-Tenant")),
+                          .body = request.body(),
+                          .ran = ran});
+    return m_arrivals.size() - 1;
+}
+
+bool platform_engine::answer(tcp::socket &socket, const request_reader &request)
+{
+    const header_fields &fields = request.head().fields;
+    const std::string what(fields.valueOf("X-Test-Do"));
+    const std::string id = "X-Attempt-Id: " + std::string(fields.valueOf("X-Attempt-Id")) + "\r\n";
+    if (fields.valueOf("X-Expect-Instance") != m_id) {
+        note(request, false);
+        write(socket, "HTTP/1.1 421 Misdirected Request\r\n" + id + "Content-Length: 0\r\n\r\n");
+        return true;
+    }
+    if (what == "refuse") {
+        note(request, false);
+        write(socket,
+              "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + id + "Content-Length: 0\r\n\r\n");
+        return true;
+    }
+    const std::size_t arrival = note(request, true);
+    const std::string signedHead
+        = "HTTP/1.1 200 OK\r\nX-Server-Stamp: " + m_id + "\r\nKeep-Alive: timeout=5\r\n" + id;
+    const std::string body = "answer to " + request.body();
+    const std::string whole
+        = signedHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    if (what == "lose")
+        return false;
+    if (what == "garble") {
+        write(socket, "\x01\x02 nonsense\r\n\r\n");
+        return false;
+    }
+    if (what == "truncate") {
+        write(socket, whole.substr(0, whole.size() - 3));
+        return false;
+    }
+    if (what == "extra") {
+        write(socket, whole + whole);
+        return true;
+    }
+    if (what == "events" || what == "broken") {
+        streamEvents(socket, signedHead, request.head(), arrival);
+        return false;
+    }
+    for (int step = 0; what == "slow" && step < slowSteps && !m_isStopping; ++step) {
+        std::this_thread::sleep_for(slowStep);
+        if (hasLeft(socket)) {
+            const std::lock_guard lock(m_mutex);
+            m_arrivals[arrival].callerLeft = true;
+            return false;
+        }
+    }
+    write(socket, whole);
+    return true;
+}
+
+void platform_engine::streamEvents(tcp::socket &socket, const std::string &head,
+                                   const request_head &request, std::size_t arrival)
+{
+    const std::string last(request.fields.valueOf("Last-Event-Id"));
+    const bool isBroken = request.fields.valueOf("X-Test-Do") == "broken" && last.empty();
+    write(socket, head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int number = last.empty() ? 1 : std::stoi(last) + 1; number <= lastEvent; ++number) {
+        const std::string text = eventText(number);
+        if (isBroken && number == brokenEvent) {
+            write(socket, toChunk(text.substr(0, text.size() / 2)));
+            return;
+        }
+        write(socket, toChunk(text));
+        std::this_thread::sleep_for(eventPause);
+        if (hasLeft(socket)) {
+            const std::lock_guard lock(m_mutex);
+            m_arrivals[arrival].callerLeft = true;
+            return;
+        }
+    }
+    write(socket, std::string(lastChunk));
+}
+
+} // namespace quetzal::standins
--- /dev/null
+++ b/tests/edge/edge_test.cpp
@@ -0,0 +1,443 @@
+#include "apps/edge/edge_process.h"
+#include "standins/platform/platform_engine.h"
+#include "standins/platform/platform_store.h"
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+
+using namespace quetzal;
+using namespace quetzal::standins;
+
+namespace {
+
+using boost::asio::ip::tcp;
+
+constexpr std::chrono::seconds patience {10};
+constexpr std::chrono::milliseconds pollPause {10};
+
+const char configurationText[] = R"({"version":VERSION,"routes":[
+    {"name":"safe","host":"h","prefix":"/safe/","routeKind":"safe","timeoutMs":TIMEOUT,"service":"s","maxAttempts":2},
+    {"name":"once","host":"h","prefix":"/once/","routeKind":"unsafe","timeoutMs":TIMEOUT,"service":"s","maxAttempts":2},
+    {"name":"stream","host":"h","prefix":"/stream/","routeKind":"streaming","timeoutMs":TIMEOUT,"service":"s","maxAttempts":2},
+    {"name":"resume","host":"h","prefix":"/resume/","routeKind":"streaming","timeoutMs":TIMEOUT,"service":"s","maxAttempts":2,"resumable":true}],
+    "services":[{"name":"s","maxConnections":60}],
+    "limits":{"maxHeaderBytes":8192,"maxBodyBytes":100000,"headerTimeoutMs":1000,"idleTimeoutMs":5000},
+    "tenants":[{"name":"t","apiKeys":["k"]}]})";
+
+std::string configuration(int version, int timeoutMs = 3000)
+{
+    std::string text = configurationText;
+    text.replace(text.find("VERSION"), 7, std::to_string(version));
+    for (std::size_t at = text.find("TIMEOUT"); at != std::string::npos; at = text.find("TIMEOUT"))
+        text.replace(at, 7, std::to_string(timeoutMs));
+    return text;
+}
+
+bool eventually(const std::function<bool()> &isTrue)
+{
+    const auto end = std::chrono::steady_clock::now() + patience;
+    while (std::chrono::steady_clock::now() < end) {
+        if (isTrue())
+            return true;
+        std::this_thread::sleep_for(pollPause);
+    }
+    return false;
+}
+
+/** A connection of a caller. */
+class caller
+{
+public:
+    explicit caller(const network_address &address)
+        : m_socket(m_loop)
+    {
+        m_socket.connect({boost::asio::ip::make_address_v4(address.host), address.port});
+        timeval limit {.tv_sec = patience.count(), .tv_usec = 0};
+        setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+    }
+    void send(const std::string &bytes)
+    {
+        ::send(m_socket.native_handle(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    }
+    void leave() { m_socket.close(); }
+    /** All bytes up to the end of the connection. */
+    std::string readAll()
+    {
+        std::string all;
+        while (readSome(all)) { }
+        return all;
+    }
+    /** All bytes up to this text, or to the end of the connection. */
+    std::string readUntil(const std::string &text)
+    {
+        std::string all;
+        while (all.find(text) == std::string::npos && readSome(all)) { }
+        return all;
+    }
+
+private:
+    bool readSome(std::string &all)
+    {
+        std::array<char, 4096> buffer {};
+        const ssize_t count = recv(m_socket.native_handle(), buffer.data(), buffer.size(), 0);
+        if (count <= 0)
+            return false;
+        all.append(buffer.data(), static_cast<std::size_t>(count));
+        return true;
+    }
+
+    boost::asio::io_context m_loop;
+    tcp::socket m_socket;
+};
+
+std::string post(const std::string &path, const std::string &id, const std::string &what,
+                 const std::string &more = "Connection: close\r\n",
+                 const std::string &body = "question")
+{
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\nX-Attempt-Id: " + id
+        + "\r\nX-Test-Do: " + what + "\r\n" + more
+        + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+/** One edge process on a thread of its own. */
+class edge
+{
+public:
+    edge(const std::string &ip, int storePort)
+        : m_settings {.vm = "vm-" + ip,
+                      .dataCentre = "north",
+                      .callers = {.host = ip, .port = 18783},
+                      .readiness = {.host = ip, .port = 18780},
+                      .firstInternalPort = 17400,
+                      .lastInternalPort = 17415,
+                      .store
+                      = {.host = "127.9.7.100", .port = static_cast<std::uint16_t>(storePort)},
+                      .stopGrace = absl::Seconds(8),
+                      .retryRatio = 0.2,
+                      .retryAllowance = 50.0,
+                      .memoryMegabytes = 200,
+                      .fileDescriptors = 600}
+        , m_process(
+              m_settings,
+              [settings = m_settings] { return edge_settings_reading {.settings = settings}; })
+        , m_thread([this] { m_process.run(); })
+    {
+    }
+    ~edge() { stop(); }
+    void stop()
+    {
+        if (!m_thread.joinable())
+            return;
+        m_process.requestStop();
+        m_thread.join();
+    }
+    void beginStop() { m_process.requestStop(); }
+    const network_address &address() const { return m_settings.callers; }
+    bool isReady() const
+    {
+        caller question(m_settings.readiness);
+        question.send("GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        return question.readAll().starts_with("HTTP/1.1 200");
+    }
+    /** The answer to one request on a connection of its own. */
+    std::string ask(const std::string &request) const
+    {
+        caller connection(m_settings.callers);
+        connection.send(request);
+        return connection.readAll();
+    }
+
+private:
+    edge_settings m_settings;
+    edge_process m_process;
+    std::thread m_thread;
+};
+
+std::size_t countRuns(platform_engine &engine, const std::string &id)
+{
+    std::size_t runs = 0;
+    for (const engine_arrival &arrival : engine.arrivals())
+        runs += arrival.requestId == id && arrival.ran ? 1 : 0;
+    return runs;
+}
+
+} // namespace
+
+TEST_CASE("the real edge process between callers, store and engines", "[edge]")
+{
+    const auto keys = std::make_shared<platform_keys>();
+    platform_store store(keys);
+    store.start("127.9.7.100", 0);
+    platform_engine first("i-1", "127.9.7.11");
+    platform_engine second("i-2", "127.9.7.12");
+    edge router("127.9.7.1", store.port());
+    const auto runs = [&](const std::string &id) {
+        return countRuns(first, id) + countRuns(second, id);
+    };
+
+    REQUIRE(eventually([&] { return !router.isReady(); }));
+    const std::string early = router.ask(post("/safe/x", "early", "answer"));
+    CHECK(early.starts_with("HTTP/1.1 503"));
+    CHECK(early.find("Retry-After: ") != std::string::npos);
+
+    keys->write("op/config", configuration(3));
+    keys->write("servers/i-1", first.entry("s"));
+    keys->write("servers/i-2", second.entry("s"));
+    REQUIRE(eventually([&] { return router.isReady(); }));
+    REQUIRE(eventually(
+        [&] { return router.ask(post("/safe/x", "warm", "answer")).starts_with("HTTP/1.1 200"); }));
+
+    SECTION("a whole answer, signed, with the workspace told to the engine")
+    {
+        const std::string answer = router.ask(post("/once/x", "a1", "answer"));
+        CHECK(answer.ends_with("answer to question"));
+        CHECK(answer.find("X-Server-Stamp: i-") != std::string::npos);
+        CHECK(runs("a1") == 1);
+        const auto arrivals = countRuns(first, "a1") == 1 ? first.arrivals() : second.arrivals();
+        CHECK(arrivals.back().tenant == "t");
+    }
+
+    SECTION("keys and routes")
+    {
+        std::string wrongKey = post("/once/x", "a1", "answer");
+        wrongKey.replace(wrongKey.find("Bearer k"), 8, "Bearer x");
+        CHECK(router.ask(wrongKey).starts_with("HTTP/1.1 401"));
+        CHECK(router.ask(post("/none/x", "a1", "answer")).starts_with("HTTP/1.1 404"));
+        CHECK(runs("a1") == 0);
+
+        AND_THEN("a key that is taken away is refused, a new configuration is in force")
+        {
+            std::string next = configuration(4);
+            next.replace(next.find("\"k\""), 3, "\"other\"");
+            keys->write("op/config", next);
+            CHECK(eventually([&] {
+                return router.ask(post("/once/x", "late", "answer")).starts_with("HTTP/1.1 401");
+            }));
+        }
+    }
+
+    SECTION("a request in chunks arrives with the same body")
+    {
+        const std::string chunked
+            = "POST /once/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\nX-Attempt-Id: c1\r\n"
+              "Transfer-Encoding: chunked\r\nConnection: "
+              "close\r\n\r\n4\r\nques\r\n4\r\ntion\r\n0\r\n\r\n";
+        CHECK(router.ask(chunked).ends_with("answer to question"));
+    }
+
+    SECTION("several requests on one connection are answered in their order")
+    {
+        caller connection(router.address());
+        connection.send(post("/safe/x", "p1", "answer", "", "one")
+                        + post("/safe/x", "p2", "answer", "", "two")
+                        + post("/safe/x", "p3", "answer", "Connection: close\r\n", "three"));
+        const std::string all = connection.readAll();
+        const std::size_t one = all.find("answer to one");
+        const std::size_t two = all.find("answer to two");
+        const std::size_t three = all.find("answer to three");
+        REQUIRE(three != std::string::npos);
+        CHECK(one < two);
+        CHECK(two < three);
+    }
+
+    SECTION("requests that could be read in two ways reach no engine")
+    {
+        const std::string both
+            = "POST /once/x HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer k\r\nX-Attempt-Id: s1\r\n"
+              "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+        CHECK(router.ask(both).starts_with("HTTP/1.1 400"));
+        CHECK(router.ask(post("/once/x", "s1", "answer", "Content-Length: 8\r\n"))
+                  .starts_with("HTTP/1.1 400"));
+        CHECK(router.ask(post("/once/x", "s1", "answer", "", std::string(100001, 'x')))
+                  .starts_with("HTTP/1.1 413"));
+        CHECK(router.ask(post("/once/x", "s1", "answer", "X-A: " + std::string(9000, 'x') + "\r\n"))
+                  .starts_with("HTTP/1.1 431"));
+        CHECK(runs("s1") == 0);
+    }
+
+    SECTION("a caller that does not finish its request is sent away in time")
+    {
+        caller slow(router.address());
+        slow.send("POST /once/x HTTP/1.1\r\nHo");
+        CHECK(slow.readAll().starts_with("HTTP/1.1 408"));
+    }
+
+    SECTION("an idempotent request whose answer is lost is tried at another engine")
+    {
+        CHECK(router.ask(post("/safe/x", "l1", "lose")).starts_with("HTTP/1.1 502"));
+        CHECK(countRuns(first, "l1") == 1);
+        CHECK(countRuns(second, "l1") == 1);
+    }
+
+    SECTION("a request that may run once runs once, and nothing is promised about it")
+    {
+        for (const char *what : {"lose", "garble", "truncate"}) {
+            CHECK(router.ask(post("/once/x", what, what)).starts_with("HTTP/1.1 502"));
+            CHECK(runs(what) == 1);
+            const std::string stream = std::string("s") + what;
+            const std::string answer = router.ask(post("/stream/x", stream, what));
+            const bool isPassedOn = answer.starts_with("HTTP/1.1 200");
+            CHECK((isPassedOn || answer.starts_with("HTTP/1.1 502")));
+            CHECK_FALSE((isPassedOn && answer.ends_with("0\r\n\r\n")));
+            CHECK(runs(stream) == 1);
+        }
+    }
+
+    SECTION("a request that no engine ran is said to be unrun")
+    {
+        const std::string refused = router.ask(post("/once/x", "r1", "refuse"));
+        CHECK(refused.starts_with("HTTP/1.1 503"));
+        CHECK(refused.find("Retry-After: ") != std::string::npos);
+        CHECK(runs("r1") == 0);
+    }
+
+    SECTION("an answer that nobody waits for reaches no caller")
+    {
+        CHECK(router.ask(post("/safe/x", "e1", "extra")).ends_with("answer to question"));
+        for (int request = 0; request < 6; ++request) {
+            const std::string id = "after" + std::to_string(request);
+            const std::string answer = router.ask(post("/once/x", id, "answer"));
+            CHECK(answer.find("X-Attempt-Id: " + id) != std::string::npos);
+            CHECK(answer.find("X-Attempt-Id: e1") == std::string::npos);
+        }
+    }
+
+    SECTION("streams")
+    {
+        const std::string whole = router.ask(post("/stream/x", "st1", "events"));
+        CHECK(whole.find("piece1") != std::string::npos);
+        CHECK(whole.find("piece8") != std::string::npos);
+        CHECK(whole.ends_with("0\r\n\r\n"));
+
+        SECTION("that break off do not look complete")
+        {
+            const std::string broken = router.ask(post("/stream/x", "st2", "broken"));
+            CHECK(broken.find("piece3") != std::string::npos);
+            CHECK(broken.find("piece8") == std::string::npos);
+            CHECK_FALSE(broken.ends_with("0\r\n\r\n"));
+            CHECK(runs("st2") == 1);
+        }
+
+        SECTION("that may be resumed go on at another engine, each event once")
+        {
+            const std::string resumed = router.ask(post("/resume/x", "st3", "broken"));
+            std::size_t at = 0;
+            for (int event = 1; event <= 8; ++event) {
+                const std::string text = "data: piece" + std::to_string(event) + "\n\n";
+                const std::size_t found = resumed.find(text);
+                CAPTURE(event, resumed);
+                REQUIRE(found != std::string::npos);
+                CHECK(found > at);
+                CHECK(resumed.find(text, found + 1) == std::string::npos);
+                at = found;
+            }
+            CHECK(resumed.ends_with("0\r\n\r\n"));
+            CHECK(runs("st3") == 2);
+        }
+    }
+
+    SECTION("a caller that leaves ends the work at the engine")
+    {
+        caller leaving(router.address());
+        leaving.send(post("/safe/x", "g1", "slow", ""));
+        REQUIRE(eventually([&] { return runs("g1") == 1; }));
+        leaving.leave();
+        CHECK(eventually([&] {
+            auto arrivals = first.arrivals();
+            const auto others = second.arrivals();
+            arrivals.insert(arrivals.end(), others.begin(), others.end());
+            for (const engine_arrival &arrival : arrivals) {
+                if (arrival.requestId == "g1" && arrival.callerLeft)
+                    return true;
+            }
+            return false;
+        }));
+    }
+
+    SECTION("a request has its final answer when its route's time is up")
+    {
+        keys->write("op/config", configuration(9, 300));
+        REQUIRE(eventually(
+            [&] { return router.ask(post("/safe/x", "t1", "slow")).starts_with("HTTP/1.1 504"); }));
+    }
+
+    SECTION("an engine that announces its stop gets nothing more")
+    {
+        keys->write("servers/i-1", first.entry("s", "draining"));
+        REQUIRE(eventually([&] {
+            const std::size_t before = first.arrivals().size();
+            for (int request = 0; request < 8; ++request)
+                router.ask(post("/safe/x", "d", "answer"));
+            return first.arrivals().size() == before;
+        }));
+
+        AND_THEN("an entry that can't be read names none")
+        {
+            keys->write("servers/i-2", "\xff\xfe nonsense");
+            CHECK(eventually([&] {
+                return router.ask(post("/safe/x", "d", "answer")).starts_with("HTTP/1.1 503");
+            }));
+        }
+    }
+
+    SECTION("another engine at a known address runs nothing that was meant for the first")
+    {
+        platform_engine stranger("i-9", "127.9.7.19");
+        std::string entry = stranger.entry("s");
+        keys->write("servers/i-1", entry);
+        keys->remove("servers/i-2");
+        CHECK(eventually([&] {
+            return router.ask(post("/once/x", "w", "answer")).starts_with("HTTP/1.1 503");
+        }));
+        CHECK(countRuns(stranger, "w") == 0);
+    }
+
+    SECTION("while the store fails, requests are served as before")
+    {
+        for (const store_mode mode : {store_mode::Busy, store_mode::TooMany, store_mode::Silent}) {
+            store.setMode(mode);
+            CHECK(router.ask(post("/safe/x", "o", "answer")).starts_with("HTTP/1.1 200"));
+            CHECK(router.isReady());
+        }
+        store.setMode(store_mode::Up);
+        keys->write("op/config", configuration(12, 250));
+        CHECK(eventually(
+            [&] { return router.ask(post("/safe/x", "o2", "slow")).starts_with("HTTP/1.1 504"); }));
+    }
+
+    SECTION("a router that the store turns away hears of changes from the others")
+    {
+        platform_store other(keys);
+        other.start("127.9.7.100", 0);
+        edge cutOff("127.9.7.2", other.port());
+        REQUIRE(eventually([&] { return cutOff.isReady(); }));
+        other.setMode(store_mode::TooMany);
+        std::string next = configuration(20);
+        next.replace(next.find("\"k\""), 3, "\"other\"");
+        keys->write("op/config", next);
+        CHECK(eventually([&] {
+            return cutOff.ask(post("/once/x", "n", "answer")).starts_with("HTTP/1.1 401");
+        }));
+        other.setMode(store_mode::Up);
+    }
+
+    SECTION("a graceful stop: not ready at once, and open requests end whole")
+    {
+        caller open(router.address());
+        open.send(post("/safe/x", "q1", "slow", ""));
+        REQUIRE(eventually([&] { return runs("q1") == 1; }));
+        router.beginStop();
+        CHECK(eventually([&] { return !router.isReady(); }));
+        const std::string answer = open.readAll();
+        CHECK(answer.ends_with("answer to question"));
+        CHECK(answer.find("Connection: close") != std::string::npos);
+    }
+
+    router.stop();
+    store.finish();
+}
