--- a/apps/edge/request_run.cpp
+++ b/apps/edge/request_run.cpp
@@ -149,9 +149,9 @@
                                  return self ? self->onHead(answer) : answer_use::Abandon;
                              },
                          .onBody =
-                             [weak](std::string text) {
+                             [weak](const std::string &text) {
                                  if (const auto self = weak.lock())
-                                     self->onBody(std::move(text));
+                                     self->onBody(text);
                              },
                          .onComplete =
                              [weak] {
--- a/modules/placement/cache/prompt_cache_view.cpp
+++ b/modules/placement/cache/prompt_cache_view.cpp
@@ -1,5 +1,7 @@
 #include "placement/cache/prompt_cache_view.h"
 
+#include <boost/range/adaptor/reversed.hpp>
+
 #include <numeric>
 
 namespace quetzal {
@@ -29,15 +31,15 @@
 
 void prompt_cache_view::use(const std::vector<prompt_part> &prompt)
 {
-    for (auto part = prompt.rbegin(); part != prompt.rend(); ++part) {
-        const auto found = m_parts.find(part->id);
+    for (const prompt_part &part : boost::adaptors::reverse(prompt)) {
+        const auto found = m_parts.find(part.id);
         if (found != m_parts.end()) {
             m_order.splice(m_order.begin(), m_order, found->second.position);
             continue;
         }
-        m_order.push_front(part->id);
-        m_parts.emplace(part->id, held_part {.tokens = part->tokens, .position = m_order.begin()});
-        m_heldTokens += part->tokens;
+        m_order.push_front(part.id);
+        m_parts.emplace(part.id, held_part {.tokens = part.tokens, .position = m_order.begin()});
+        m_heldTokens += part.tokens;
     }
     evict();
 }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -86,7 +86,7 @@
             CAPTURE(text);
             CHECK_FALSE(platform::readTarget("servers/i-1", text).has_value());
         }
-        CHECK_FALSE(platform::readTarget("servers/i-1", "\xff\x00garbage").has_value());
+        CHECK_FALSE(platform::readTarget("servers/i-1", "\xff\x01garbage").has_value());
         CHECK_FALSE(platform::readTarget("servers/i-1", "[]").has_value());
     }
 }
