quetzalctl explain: the story of a request from logs; rejections log what decided them

Writing up the incidents showed that "rejected" alone could not be traced: the waiting work, the limit and the workspace's share were not in the log. They are now (request_overload), each end names the configuration in force, each send how many routers were heard.

--- a/apps/ctl/ctl_command.cpp
+++ b/apps/ctl/ctl_command.cpp
@@ -71,6 +71,7 @@
     text << "Usage: quetzalctl VERB [OPERAND] [OPTIONS]\n\nVerbs:\n";
     for (const ctl_verb &verb : verbs)
         text << "  " << verb.words << " " << verb.operand << "\n";
+    text << "  explain REQUEST-ID FILE...   (reads logs of quetzal-edge; needs no admin)\n";
     text << "\n" << describeOptions();
     text << "\nExit codes: 0 done, 2 usage, 3 document invalid, 4 conflict, 5 refused,\n"
             "6 unavailable (nothing changed), 7 outcome unknown, 8 accepted but not yet in force\n"
--- /dev/null
+++ b/apps/ctl/explain_command.cpp
@@ -0,0 +1,36 @@
+#include "apps/ctl/explain_command.h"
+
+#include "apps/ctl/ctl_exit.h"
+#include "telemetry/story/request_story.h"
+
+#include <fstream>
+
+namespace quetzal {
+
+int explainRequest(const std::vector<std::string> &operands, std::ostream &out, std::ostream &error)
+{
+    constexpr std::size_t leastOperands = 2;
+    if (operands.size() < leastOperands) {
+        error << "usage: quetzalctl explain REQUEST-ID FILE...\n";
+        return static_cast<int>(ctl_exit::Usage);
+    }
+    std::vector<std::string> lines;
+    for (std::size_t index = 1; index < operands.size(); ++index) {
+        std::ifstream file(operands[index]);
+        if (!file) {
+            error << "quetzalctl: cannot read " << operands[index] << "\n";
+            return static_cast<int>(ctl_exit::Usage);
+        }
+        for (std::string line; std::getline(file, line);)
+            lines.push_back(line);
+    }
+    const std::vector<std::string> story = requestStory(operands.front(), lines);
+    for (const std::string &line : story)
+        out << line << "\n";
+    if (!story.empty())
+        return 0;
+    error << "quetzalctl: no line names the request " << operands.front() << "\n";
+    return static_cast<int>(ctl_exit::Failed);
+}
+
+} // namespace quetzal
--- a/apps/ctl/main.cpp
+++ b/apps/ctl/main.cpp
@@ -1,5 +1,6 @@
 #include "apps/ctl/ctl_command.h"
 #include "apps/ctl/ctl_output.h"
+#include "apps/ctl/explain_command.h"
 
 #include <absl/strings/ascii.h>
 #include <httplib.h>
@@ -71,8 +72,11 @@
 
 int main(int argc, char **argv)
 {
-    const quetzal::ctl_reading reading
-        = quetzal::readCommand(std::vector<std::string>(argv + 1, argv + argc));
+    const std::vector<std::string> arguments(argv + 1, argv + argc);
+    if (!arguments.empty() && arguments.front() == "explain")
+        return quetzal::explainRequest({arguments.begin() + 1, arguments.end()}, std::cout,
+                                       std::cerr);
+    const quetzal::ctl_reading reading = quetzal::readCommand(arguments);
     if (!reading.command && reading.error.empty()) {
         std::cout << reading.help;
         return 0;
--- a/apps/edge/request_run.cpp
+++ b/apps/edge/request_run.cpp
@@ -120,6 +120,7 @@
         .number("workMs", absl::ToInt64Milliseconds(where.work))
         .number("missingTokens", where.missingTokens)
         .number("candidates", static_cast<std::int64_t>(where.candidates))
+        .number("routersHeard", static_cast<std::int64_t>(m_context.node.fleet().heard(now)))
         .flag("cold", where.isCold);
     m_connection = m_context.pool.take({.target = where.target,
                                         .address = where.address,
@@ -388,6 +389,8 @@
         return;
     }
     const auto caller = m_caller.lock();
+    if (reason.overload)
+        logOverload(*reason.overload);
     logEnd(m_history.isUnrun() ? "rejected" : "failed", reason.status,
            static_cast<int>(reason.code));
     finish();
@@ -442,11 +445,28 @@
     m_timer.cancel();
 }
 
+void request_run::logOverload(const overload_cause &cause)
+{
+    m_context.log.line("request_overload")
+        .text("request", m_description.id)
+        .text("route", m_admitted->rule->name)
+        .text("workspace", m_admitted->workspace)
+        .text("bestTarget", cause.target)
+        .number("configuration", m_admitted->table->version())
+        .number("backlogMs", absl::ToInt64Milliseconds(cause.backlog))
+        .number("limitMs", absl::ToInt64Milliseconds(cause.limit))
+        .number("servedTokens", static_cast<std::int64_t>(cause.share.servedTokens))
+        .number("owedTokens", static_cast<std::int64_t>(cause.share.owedTokens.value_or(-1.0)))
+        .number("routersHeard", static_cast<std::int64_t>(m_context.node.fleet().heard(edgeNow())));
+}
+
 void request_run::logEnd(std::string_view outcome, int status, int code)
 {
     m_context.metrics.onEnd(std::string(outcome), code, age());
+    const auto &table = m_context.node.routes();
     m_context.log.line("request_ended")
         .text("request", m_description.id)
+        .number("configuration", table ? table->version() : 0)
         .text("outcome", outcome)
         .number("status", status)
         .number("code", code)
--- a/apps/edge/request_run.h
+++ b/apps/edge/request_run.h
@@ -62,6 +62,7 @@
     bool mayResume() const;
     void abortAnswer(std::string_view reason);
     void finish();
+    void logOverload(const overload_cause &cause);
     void logEnd(std::string_view outcome, int status, int code);
     absl::Duration age() const;
 
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -199,11 +199,10 @@
     return candidate;
 }
 
-absl::Duration forwarding_node::limitFor(const admitted_request &request, absl::Time now)
+share_state forwarding_node::shareOf(const admitted_request &request, absl::Time now)
 {
-    const share_state share = m_accounts.shareOf(request.workspace, m_fleet,
-                                                 request.table->limits().tokensPerSecond, now);
-    return backlogLimit(share, request.rule->aim, m_options.limits);
+    return m_accounts.shareOf(request.workspace, m_fleet, request.table->limits().tokensPerSecond,
+                              now);
 }
 
 void forwarding_node::rememberPrompt(const std::string &target,
@@ -251,11 +250,15 @@
     const std::size_t best = *chooseTarget(candidates, m_options.weights);
     const target_candidate &chosen = candidates[best];
     const target_state &state = *options[best].state;
-    const absl::Duration limit = limitFor(request, now);
+    const share_state share = shareOf(request, now);
+    const absl::Duration limit = backlogLimit(share, request.rule->aim, m_options.limits);
     if (chosen.backlog > limit)
-        return rejection {.status = statusUnavailable,
-                          .code = result_code::RouterQueueFull,
-                          .retryAfter = std::max(chosen.backlog - limit / 2, leastRetryAfter)};
+        return rejection {
+            .status = statusUnavailable,
+            .code = result_code::RouterQueueFull,
+            .retryAfter = std::max(chosen.backlog - limit / 2, leastRetryAfter),
+            .overload = overload_cause {
+                .target = chosen.id, .backlog = chosen.backlog, .limit = limit, .share = share}};
 
     target_view &view = viewOf(chosen.id, *service);
     const bool isCold = now < state.coldUntil;
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -99,7 +99,7 @@
     target_candidate candidateFor(const target_state &state, const service_description &service,
                                   const request_description &description, option &choice,
                                   absl::Time now);
-    absl::Duration limitFor(const admitted_request &request, absl::Time now);
+    share_state shareOf(const admitted_request &request, absl::Time now);
     void rememberPrompt(const std::string &target, const request_description &description);
 
     forwarding_options m_options;
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -42,6 +42,18 @@
     std::uint64_t life = 0;
 };
 
+/** What decided that there is too much work for a request. */
+struct overload_cause
+{
+    /** The best target, its waiting work, and the limit for this request. */
+    std::string target;
+    absl::Duration backlog;
+    absl::Duration limit;
+    share_state share;
+
+    bool operator==(const overload_cause &) const = default;
+};
+
 /** A request that is answered by the router itself. */
 struct rejection
 {
@@ -49,6 +61,7 @@
     result_code code = result_code::Ok;
     /** When the caller may come back; nothing when coming back is of no use. */
     std::optional<absl::Duration> retryAfter;
+    std::optional<overload_cause> overload;
 
     bool operator==(const rejection &) const = default;
 };
--- /dev/null
+++ b/modules/telemetry/story/request_story.cpp
@@ -0,0 +1,105 @@
+#include "telemetry/story/request_story.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <limits>
+#include <map>
+#include <optional>
+
+namespace quetzal {
+
+namespace {
+
+using nlohmann::ordered_json;
+
+/** How long before the request the beliefs of its router are shown, in milliseconds. */
+constexpr std::int64_t beliefsBeforeMs = 3000;
+constexpr std::array<const char *, 4> hiddenFields {"timeMs", "vm", "event", "request"};
+
+/** One log line that could be read. */
+struct story_line
+{
+    std::int64_t timeMs = 0;
+    std::string vm;
+    std::string event;
+    std::string request;
+    ordered_json object;
+};
+
+/** The span in which one router dealt with the request. */
+struct time_span
+{
+    std::int64_t firstMs = std::numeric_limits<std::int64_t>::max();
+    std::int64_t lastMs = 0;
+};
+
+std::optional<story_line> readLine(const std::string &text)
+{
+    const std::size_t begin = text.find('{');
+    if (begin == std::string::npos)
+        return std::nullopt;
+    const auto object = ordered_json::parse(text.substr(begin), nullptr, false);
+    if (!object.is_object() || !object.contains("timeMs") || !object.contains("event"))
+        return std::nullopt;
+    return story_line {.timeMs = object.value("timeMs", std::int64_t {0}),
+                       .vm = object.value("vm", ""),
+                       .event = object.value("event", ""),
+                       .request = object.value("request", ""),
+                       .object = object};
+}
+
+std::string describe(const story_line &line, std::int64_t startMs)
+{
+    std::string text = (line.timeMs >= startMs ? "+" : "") + std::to_string(line.timeMs - startMs)
+        + " ms  " + line.vm + "  " + line.event;
+    for (const auto &[name, value] : line.object.items()) {
+        const auto isHidden = [&](const char *hidden) {
+            return name == hidden;
+        };
+        if (std::none_of(hiddenFields.begin(), hiddenFields.end(), isHidden))
+            text += "  " + name + "="
+                + (value.is_string() ? value.get<std::string>() : value.dump());
+    }
+    return text;
+}
+
+} // namespace
+
+std::vector<std::string> requestStory(const std::string &requestId,
+                                      const std::vector<std::string> &logLines)
+{
+    std::vector<story_line> lines;
+    std::map<std::string, time_span> spans;
+    std::int64_t startMs = std::numeric_limits<std::int64_t>::max();
+    for (const std::string &text : logLines) {
+        const auto line = readLine(text);
+        if (!line)
+            continue;
+        lines.push_back(*line);
+        if (line->request != requestId)
+            continue;
+        time_span &span = spans[line->vm];
+        span.firstMs = std::min(span.firstMs, line->timeMs);
+        span.lastMs = std::max(span.lastMs, line->timeMs);
+        startMs = std::min(startMs, line->timeMs);
+    }
+    std::erase_if(lines, [&](const story_line &line) {
+        if (!line.request.empty())
+            return line.request != requestId;
+        const auto span = spans.find(line.vm);
+        return span == spans.end() || line.timeMs < span->second.firstMs - beliefsBeforeMs
+            || line.timeMs > span->second.lastMs;
+    });
+    std::stable_sort(lines.begin(), lines.end(), [](const auto &left, const auto &right) {
+        return left.timeMs < right.timeMs;
+    });
+    std::vector<std::string> story;
+    for (const story_line &line : lines)
+        story.push_back(describe(line, startMs));
+    return story;
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/tests/telemetry/request_story_test.cpp
@@ -0,0 +1,33 @@
+#include "telemetry/story/request_story.h"
+
+#include <catch2/catch.hpp>
+
+using namespace quetzal;
+
+TEST_CASE("the story of a request is read from logs", "[telemetry]")
+{
+    const std::vector<std::string> lines {
+        R"(   9.1 b {"timeMs":9100,"vm":"b","event":"request_sent","request":"other","target":"t2"})",
+        R"({"timeMs":5000,"vm":"a","event":"configuration","version":3})",
+        R"({"timeMs":9500,"vm":"a","event":"request_ended","request":"r","outcome":"failed","status":502})",
+        R"({"timeMs":9000,"vm":"a","event":"request_sent","request":"r","target":"t1","backlogMs":12})",
+        R"({"timeMs":7000,"vm":"a","event":"store_lost","prefix":"op/"})",
+        R"({"timeMs":9200,"vm":"b","event":"stopping"})",
+        R"({"timeMs":9600,"vm":"a","event":"stopping"})",
+        "no JSON at all",
+        "{\"timeMs\":\"odd\""};
+
+    SECTION("in the order of time, with what its router believed")
+    {
+        const std::vector<std::string> story = requestStory("r", lines);
+        REQUIRE(story.size() == 3);
+        CHECK(story[0] == "-2000 ms  a  store_lost  prefix=op/");
+        CHECK(story[1] == "+0 ms  a  request_sent  target=t1  backlogMs=12");
+        CHECK(story[2] == "+500 ms  a  request_ended  outcome=failed  status=502");
+    }
+
+    SECTION("a request that no line names has none")
+    {
+        CHECK(requestStory("unknown", lines).empty());
+    }
+}
