--- a/apps/edge/request_run.cpp
+++ b/apps/edge/request_run.cpp
@@ -109,6 +109,7 @@
     m_answerBegan = false;
     m_relay = relay::None;
     m_answerBody.clear();
+    m_answerHead = {};
     m_context.log.line("request_sent")
         .text("request", m_description.id)
         .text("route", rule.name)
@@ -160,9 +161,9 @@
                                      self->onComplete();
                              },
                          .onFailed =
-                             [weak](bool sent) {
+                             [weak](const exchange_failure &failure) {
                                  if (const auto self = weak.lock())
-                                     self->onFailed(sent);
+                                     self->onFailed(failure);
                              }});
 }
 
@@ -315,14 +316,17 @@
     caller->finishAnswer(close);
 }
 
-void request_run::onFailed(bool sent)
+void request_run::onFailed(const exchange_failure &cause)
 {
     m_excluded.insert(m_target);
     m_connection.reset();
-    const attempt_failure failure = sent ? attempt_failure::AnswerLost : attempt_failure::NotSent;
-    m_context.node.onEnded(m_number, m_target, sent ? exchange_end::Lost : exchange_end::NotSent,
-                           edgeNow());
+    m_failureReason = cause.reason;
+    const attempt_failure failure
+        = cause.isSent ? attempt_failure::AnswerLost : attempt_failure::NotSent;
+    m_context.node.onEnded(m_number, m_target,
+                           cause.isSent ? exchange_end::Lost : exchange_end::NotSent, edgeNow());
     if (m_relay == relay::Streaming && !mayResume()) {
+        logAttempt(failure);
         m_history = after(m_history, failure);
         abortAnswer("stream_broken");
         return;
@@ -354,12 +358,7 @@
     if (!m_connection && failure == attempt_failure::NotSent)
         m_context.node.onEnded(m_number, m_target, exchange_end::Cancelled, edgeNow());
     m_history = after(m_history, failure);
-    m_context.metrics.onAttemptFailed(toText(failure));
-    m_context.log.line("attempt_failed")
-        .text("request", m_description.id)
-        .text("target", m_target)
-        .text("failure", toText(failure))
-        .number("ageMs", absl::ToInt64Milliseconds(age()));
+    logAttempt(failure);
     const absl::Time now = edgeNow();
     const bool mayPlace = now < m_admitted->dueAt && mayTryAgain(*m_admitted->rule, m_history)
         && (!needsBudget(m_history) || m_context.node.trySpendRepeat(m_admitted->service, now));
@@ -445,6 +444,19 @@
     m_timer.cancel();
 }
 
+void request_run::logAttempt(attempt_failure failure)
+{
+    m_context.metrics.onAttemptFailed(toText(failure));
+    m_context.log.line("attempt_failed")
+        .text("request", m_description.id)
+        .text("target", m_target)
+        .text("failure", toText(failure))
+        .text("reason", std::exchange(m_failureReason, {}))
+        .number("answerStatus", m_answerHead.status)
+        .number("sentMsAgo", absl::ToInt64Milliseconds(edgeNow() - m_sentAt))
+        .number("ageMs", absl::ToInt64Milliseconds(age()));
+}
+
 void request_run::logOverload(const overload_cause &cause)
 {
     m_context.log.line("request_overload")
--- a/apps/edge/request_run.h
+++ b/apps/edge/request_run.h
@@ -49,7 +49,7 @@
     void onAnswerBegan();
     void onBody(const std::string &text);
     void onComplete();
-    void onFailed(bool sent);
+    void onFailed(const exchange_failure &cause);
     void onDue();
 
     void retryOrFail(attempt_failure failure);
@@ -62,6 +62,7 @@
     bool mayResume() const;
     void abortAnswer(std::string_view reason);
     void finish();
+    void logAttempt(attempt_failure failure);
     void logOverload(const overload_cause &cause);
     void logEnd(std::string_view outcome, int status, int code);
     absl::Duration age() const;
@@ -87,6 +88,8 @@
     absl::Time m_sentAt = absl::InfinitePast();
     /** Finds whole events in streams that may go on at another target. */
     event_scanner m_events;
+    /** What was seen of the last failed send. */
+    std::string m_failureReason;
     bool m_answerBegan = false;
     /** True once the head of an answer was passed on, after which only its body may follow. */
     bool m_headPassed = false;
--- a/apps/edge/target_connection.cpp
+++ b/apps/edge/target_connection.cpp
@@ -51,14 +51,14 @@
     m_timer.expires_after(connectTimeout);
     m_timer.async_wait([self](const error_code &error) {
         if (!error && !self->m_isOpen)
-            self->fail();
+            self->fail("connect_timeout");
     });
     m_socket.async_connect(endpointOf(m_address), [self](const error_code &error) {
         if (self->m_isClosed)
             return;
         self->m_timer.cancel();
         if (error) {
-            self->fail();
+            self->fail("connect_failed");
             return;
         }
         self->m_isOpen = true;
@@ -76,7 +76,7 @@
                              [self](const error_code &error, std::size_t) {
                                  self->m_isWriting = false;
                                  if (error && !self->m_isClosed && !self->m_isReading)
-                                     self->fail();
+                                     self->fail("write_failed");
                              });
     read();
 }
@@ -117,7 +117,7 @@
     while (m_isBusy) {
         m_input.erase(0, m_reader.consume(m_input));
         if (m_reader.isFaulty()) {
-            fail();
+            fail("not_http");
             return;
         }
         if (m_reader.isHeadComplete() && !m_headTold && !m_isSkipping) {
@@ -126,7 +126,7 @@
                 return;
             if (use == answer_use::Abandon
                 || (use == answer_use::Skip && ++m_skipped > mostSkipped)) {
-                fail();
+                fail("answer_unusable");
                 return;
             }
             m_headTold = use == answer_use::Accept;
@@ -170,7 +170,7 @@
     if (orderly)
         m_reader.consumeEnd();
     if (!orderly || !m_reader.isComplete() || !m_headTold) {
-        fail();
+        fail(orderly ? "closed_early" : "broken");
         return;
     }
     const std::string body = m_reader.takeBody();
@@ -180,14 +180,14 @@
         complete(true);
 }
 
-void target_connection::fail()
+void target_connection::fail(std::string_view reason)
 {
     const auto self = shared_from_this();
     const bool wasBusy = std::exchange(m_isBusy, false);
     const exchange_callbacks callbacks = std::exchange(m_callbacks, {});
     close();
     if (wasBusy && callbacks.onFailed)
-        callbacks.onFailed(m_isSent);
+        callbacks.onFailed({.isSent = m_isSent, .reason = reason});
 }
 
 void target_connection::cancel()
--- a/apps/edge/target_connection.h
+++ b/apps/edge/target_connection.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace quetzal {
 
@@ -25,14 +26,22 @@
     Abandon,
 };
 
+/** Why an exchange failed. */
+struct exchange_failure
+{
+    /** Bytes of the request may have reached the target. */
+    bool isSent = false;
+    /** What was seen, for the log. */
+    std::string_view reason;
+};
+
 /** How an exchange is told to its owner; none is called after the end or a cancel. */
 struct exchange_callbacks
 {
     std::function<answer_use(const response_head &)> onHead;
     std::function<void(const std::string &body)> onBody;
     std::function<void()> onComplete;
-    /** sent: bytes of the request may have reached the target. */
-    std::function<void(bool sent)> onFailed;
+    std::function<void(const exchange_failure &)> onFailed;
 };
 
 /** One connection to a target, which carries one exchange at a time. */
@@ -64,7 +73,7 @@
     void onEnd(bool orderly);
     void feed();
     void complete(bool hasRest);
-    void fail();
+    void fail(std::string_view reason);
     void close();
 
     boost::asio::ip::tcp::socket m_socket;
