--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -1,10 +1,8 @@
 #include "apps/edge/edge_process.h"
 
 #include "apps/edge/edge_clock.h"
-#include "platform/platform.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <csignal>
 #include <utility>
@@ -18,15 +16,10 @@
 constexpr std::chrono::milliseconds tickInterval {200};
 /** The settings file may change without a signal. */
 constexpr int ticksPerSettingsCheck = 15;
-/** The prefix of the records of this product's routers. */
-constexpr char memberPrefix[] = "quetzalreach/members/";
 constexpr std::uint16_t metricsPort = 9464;
 constexpr char metricsPath[] = "/metrics";
 constexpr int statusUnavailable = 503;
 constexpr int statusOk = 200;
-constexpr int statusNoContent = 204;
-constexpr int statusNotFound = 404;
-constexpr absl::Duration announceTimeout = absl::Seconds(1);
 /** How long new requests are still taken after the order to stop. */
 constexpr absl::Duration acceptAfterStop = absl::Milliseconds(2800);
 /** Left of the grace period when the process ends whatever is open. */
@@ -95,35 +88,15 @@
     , m_timer(m_loop)
     , m_peers(m_loop, m_node,
               {.host = m_settings.callers.host, .port = m_settings.firstInternalPort})
-    , m_configuration(m_loop, m_log, m_settings.store, platform::operatorPrefix,
-                      {.onChanges = [this](const auto &news, bool) { onConfiguration(news); },
-                       .onTouch = {},
-                       .nextPeer =
-                           [this] {
-                               return m_peers.nextPeer();
-                           }})
-    , m_targets(m_loop, m_log, m_settings.store, platform::targetPrefix,
-                {.onChanges = [this](const auto &news, bool first) { onTargets(news, first); },
-                 .onTouch = [this](bool inTouch) { onTargetsTouch(inTouch); },
-                 .nextPeer =
-                     [this] {
-                         return m_peers.nextPeer();
-                     }})
-    , m_members(m_loop, m_log, m_settings.store, memberPrefix,
-                {.onChanges = [this](const auto &, bool) { onMembers(); },
-                 .onTouch = {},
-                 .nextPeer =
-                     [this] {
-                         return m_peers.nextPeer();
-                     }})
-    , m_announcer(std::make_shared<http_client>(m_loop, m_settings.store))
+    , m_feed(m_context, m_peers,
+             {.store = m_settings.store, .vm = m_settings.vm, .host = m_settings.callers.host})
     , m_callers(m_loop, m_settings.callers, [this](auto socket) { onCaller(std::move(socket)); })
     , m_readiness(m_loop, m_settings.readiness,
                   pages([this](const std::string &path) { return statusPage(path); }))
     , m_metricsPage(m_loop, {.host = m_settings.callers.host, .port = metricsPort},
                     pages([this](const std::string &path) { return statusPage(path); }))
     , m_copies(m_loop, {.host = m_settings.callers.host, .port = m_settings.firstInternalPort},
-               pages([this](const std::string &path) { return copyPage(path); }))
+               pages([this](const std::string &path) { return m_feed.copyPage(path); }))
 {
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -134,9 +107,7 @@
         .text("dataCentre", m_settings.dataCentre)
         .text("version", QUETZAL_VERSION);
     waitForSignal();
-    m_configuration.start();
-    m_targets.start();
-    m_members.start();
+    m_feed.start();
     m_peers.start();
     tick();
     m_loop.run();
@@ -181,112 +152,6 @@
         .number("open", static_cast<std::int64_t>(m_connections.size()));
 }
 
-void edge_process::onConfiguration(const std::vector<key_change> &changes)
-{
-    bool evacuationChanged = false;
-    for (const key_change &change : changes) {
-        if (change.key == platform::configurationKey && change.value) {
-            auto options = platform::readConfiguration(*change.value);
-            if (!options) {
-                m_log.line("configuration_unreadable").number("revision", change.revision);
-                continue;
-            }
-            const std::int64_t version = options->version;
-            const bool taken
-                = m_node.setRoutes(std::make_shared<const route_table>(std::move(*options)));
-            m_log.line("configuration")
-                .number("version", version)
-                .number("revision", change.revision)
-                .flag("inForce", taken);
-        }
-        evacuationChanged = evacuationChanged || !platform::evacuatedDataCentre(change.key).empty();
-    }
-    if (!evacuationChanged)
-        return;
-    absl::flat_hash_set<std::string> evacuated;
-    for (const stored_item &item : m_configuration.follower().mirror().items()) {
-        const std::string name = platform::evacuatedDataCentre(item.key);
-        if (!name.empty())
-            evacuated.insert(name);
-    }
-    m_log.line("evacuation").number("dataCentres", static_cast<std::int64_t>(evacuated.size()));
-    m_node.setEvacuated(evacuated, edgeNow());
-}
-
-void edge_process::onTargets(const std::vector<key_change> &changes, bool first)
-{
-    const absl::Time now = edgeNow();
-    for (const key_change &change : changes) {
-        const std::string id = platform::targetIdOf(change.key);
-        const auto record
-            = change.value ? platform::readTarget(change.key, *change.value) : std::nullopt;
-        auto line = m_log.line(record ? "target" : "target_removed");
-        line.text("target", id).number("revision", change.revision);
-        if (!record) {
-            line.flag("unreadable", change.value.has_value());
-            m_node.removeTarget(id, now);
-            m_pool.closeIdle(id);
-            continue;
-        }
-        line.text("service", record->service)
-            .text("dataCentre", record->dataCentre)
-            .flag("leaving", record->isLeaving)
-            .number("coldMs", absl::ToInt64Milliseconds(record->coldFor))
-            .number("startedAtMs", record->startedAtMs);
-        m_node.applyTarget(*record, first, now);
-        if (record->isLeaving)
-            m_pool.closeIdle(id);
-    }
-}
-
-void edge_process::onTargetsTouch(bool inTouch)
-{
-    if (inTouch)
-        m_node.directory().onListBack(edgeNow());
-    else
-        m_node.directory().onListLost(edgeNow());
-}
-
-void edge_process::onMembers()
-{
-    router_group group {.self = m_settings.vm, .members = {m_settings.vm}};
-    std::vector<std::string> hosts;
-    const std::string_view prefix = memberPrefix;
-    for (const stored_item &item : m_members.follower().mirror().items()) {
-        const std::string name = item.key.substr(prefix.size());
-        if (name == m_settings.vm)
-            continue;
-        group.members.push_back(name);
-        hosts.push_back(item.value);
-    }
-    m_peers.setPeers(std::move(hosts));
-    m_log.line("routers").number("count", static_cast<std::int64_t>(group.members.size()));
-    m_node.setRouters(std::move(group));
-}
-
-void edge_process::announce()
-{
-    if (m_isAnnounced || m_isAnnouncing || !m_members.follower().mirror().isComplete())
-        return;
-    const std::string key = memberPrefix + m_settings.vm;
-    const std::vector<stored_item> items = m_members.follower().mirror().items();
-    m_isAnnounced = std::any_of(items.begin(), items.end(), [&](const stored_item &item) {
-        return item.key == key && item.value == m_settings.callers.host;
-    });
-    if (m_isAnnounced)
-        return;
-    m_isAnnouncing = true;
-    const platform::store_call call = platform::writeCall(key, m_settings.callers.host);
-    m_announcer->call({.method = call.method,
-                       .target = call.target,
-                       .body = call.body,
-                       .timeout = announceTimeout},
-                      [this](const std::optional<http_result> &result) {
-                          m_isAnnouncing = false;
-                          m_isAnnounced = result && result->status == statusOk;
-                      });
-}
-
 void edge_process::waitForSignal()
 {
     m_signals.async_wait([this](const error_code &error, int signal) {
@@ -339,7 +204,7 @@
 void edge_process::tick()
 {
     const absl::Time now = edgeNow();
-    announce();
+    m_feed.announce();
     m_pool.closeExpired(now);
     if (++m_ticks % ticksPerSettingsCheck == 0 && m_readSettings().settings != m_lastRead)
         reload("file");
@@ -368,8 +233,7 @@
 
 bool edge_process::isReady() const
 {
-    return !m_stopBegan && m_node.routes() && m_targets.follower().mirror().isComplete()
-        && m_members.follower().mirror().isComplete();
+    return !m_stopBegan && m_feed.isComplete();
 }
 
 status_page edge_process::statusPage(const std::string &path)
@@ -387,21 +251,6 @@
     };
 }
 
-status_page edge_process::copyPage(const std::string &path) const
-{
-    for (const mirror_session *session : {&m_configuration, &m_targets, &m_members}) {
-        const std::string start = mirrorPath + session->follower().mirror().prefix() + "?after=";
-        if (!path.starts_with(start))
-            continue;
-        std::int64_t revision = 0;
-        std::from_chars(path.data() + start.size(), path.data() + path.size(), revision);
-        std::string copy = session->copyAfter(revision);
-        const int status = copy.empty() ? statusNoContent : statusOk;
-        return {.status = status, .body = std::move(copy)};
-    }
-    return {.status = statusNotFound, .body = {}};
-}
-
 std::string edge_process::metricsText()
 {
     m_metrics.set("open_connections", "Connections from callers.",
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -3,9 +3,9 @@
 #include "apps/edge/caller_connection.h"
 #include "apps/edge/edge_context.h"
 #include "apps/edge/listener.h"
-#include "apps/edge/mirror_session.h"
 #include "apps/edge/peer_exchange.h"
 #include "apps/edge/status_connection.h"
+#include "apps/edge/store_feed.h"
 #include "forwarding/settings/edge_settings.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -40,11 +40,6 @@
 private:
     void onCaller(boost::asio::ip::tcp::socket socket);
     void closeLongestIdle();
-    void onConfiguration(const std::vector<key_change> &changes);
-    void onTargets(const std::vector<key_change> &changes, bool first);
-    void onTargetsTouch(bool inTouch);
-    void onMembers();
-    void announce();
     void waitForSignal();
     void reload(std::string_view cause);
     void beginStop();
@@ -53,7 +48,6 @@
     bool isReady() const;
     status_page statusPage(const std::string &path);
     std::string metricsText();
-    status_page copyPage(const std::string &path) const;
     /** Serves pages of the process about itself on accepted connections. */
     listener::callback pages(status_connection::handler answer);
 
@@ -71,12 +65,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_timer;
     peer_exchange m_peers;
-    mirror_session m_configuration;
-    mirror_session m_targets;
-    mirror_session m_members;
-    std::shared_ptr<http_client> m_announcer;
-    bool m_isAnnouncing = false;
-    bool m_isAnnounced = false;
+    store_feed m_feed;
     listener m_callers;
     listener m_readiness;
     listener m_metricsPage;
--- /dev/null
+++ b/apps/edge/request_log.cpp
@@ -0,0 +1,92 @@
+#include "apps/edge/request_log.h"
+
+namespace quetzal {
+
+request_log::request_log(edge_context &context, absl::Time arrivedAt)
+    : m_context(context)
+    , m_arrivedAt(arrivedAt)
+{
+}
+
+std::int64_t request_log::ageMs(absl::Time now) const
+{
+    return absl::ToInt64Milliseconds(now - m_arrivedAt);
+}
+
+void request_log::sent(const admitted_request &request, const placement &where, absl::Time now)
+{
+    m_context.metrics.onSend();
+    m_context.log.line("request_sent")
+        .text("request", m_requestId)
+        .text("route", request.rule->name)
+        .text("workspace", request.workspace)
+        .text("target", where.target)
+        .number("configuration", request.table->version())
+        .number("ageMs", ageMs(now))
+        .number("backlogMs", absl::ToInt64Milliseconds(where.backlog))
+        .number("workMs", absl::ToInt64Milliseconds(where.work))
+        .number("missingTokens", where.missingTokens)
+        .number("candidates", static_cast<std::int64_t>(where.candidates))
+        .number("routersHeard", static_cast<std::int64_t>(m_context.node.fleet().heard(now)))
+        .flag("cold", where.isCold);
+}
+
+void request_log::answerBegan(request_kind kind, absl::Time now)
+{
+    m_context.metrics.onFirstByte(kind, now - m_arrivedAt);
+}
+
+void request_log::answerMismatched(std::string_view target, std::string_view answeredId, int status)
+{
+    m_context.log.line("answer_mismatched")
+        .text("request", m_requestId)
+        .text("target", target)
+        .text("answered", answeredId)
+        .number("status", status);
+}
+
+void request_log::attemptFailed(std::string_view target, attempt_failure failure,
+                                std::string_view reason, absl::Time now)
+{
+    m_context.metrics.onAttemptFailed(toText(failure));
+    m_context.log.line("attempt_failed")
+        .text("request", m_requestId)
+        .text("target", target)
+        .text("failure", toText(failure))
+        .text("reason", reason)
+        .number("ageMs", ageMs(now));
+}
+
+void request_log::overloaded(const admitted_request &request, const overload_cause &cause,
+                             absl::Time now)
+{
+    m_context.log.line("request_overload")
+        .text("request", m_requestId)
+        .text("route", request.rule->name)
+        .text("workspace", request.workspace)
+        .text("bestTarget", cause.target)
+        .number("configuration", request.table->version())
+        .number("backlogMs", absl::ToInt64Milliseconds(cause.backlog))
+        .number("limitMs", absl::ToInt64Milliseconds(cause.limit))
+        .number("servedTokens", static_cast<std::int64_t>(cause.share.servedTokens))
+        .number("owedTokens", static_cast<std::int64_t>(cause.share.owedTokens.value_or(-1.0)))
+        .number("routersHeard", static_cast<std::int64_t>(m_context.node.fleet().heard(now)));
+}
+
+void request_log::ended(const request_end &end, absl::Time now)
+{
+    const int code = static_cast<int>(end.code);
+    const auto &table = m_context.node.routes();
+    m_context.metrics.onEnd(std::string(end.outcome), code, now - m_arrivedAt);
+    m_context.log.line("request_ended")
+        .text("request", m_requestId)
+        .number("configuration", table ? table->version() : 0)
+        .text("outcome", end.outcome)
+        .number("status", end.status)
+        .number("code", code)
+        .number("ageMs", ageMs(now))
+        .text("target", end.target)
+        .number("mayHaveRun", end.mayHaveRun);
+}
+
+} // namespace quetzal
--- /dev/null
+++ b/apps/edge/request_log.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "apps/edge/edge_context.h"
+#include "forwarding/node/forwarding_types.h"
+#include "forwarding/request/attempt_rules.h"
+
+#include <absl/time/time.h>
+
+#include <string>
+#include <string_view>
+
+namespace quetzal {
+
+/** How a request ended. */
+struct request_end
+{
+    std::string_view outcome;
+    /** The status that the caller got, or would have got. */
+    int status = 0;
+    result_code code = result_code::Ok;
+    /** The last target; empty when nothing was sent. */
+    std::string_view target;
+    /** Sends after which the request may have run. */
+    int mayHaveRun = 0;
+};
+
+/** Log lines and metrics of one request, with what decided each step. */
+class request_log
+{
+public:
+    request_log(edge_context &context, absl::Time arrivedAt);
+
+    /** Names the request once its identifier is known. */
+    void setRequestId(std::string requestId) { m_requestId = std::move(requestId); }
+    void sent(const admitted_request &request, const placement &where, absl::Time now);
+    void answerBegan(request_kind kind, absl::Time now);
+    void answerMismatched(std::string_view target, std::string_view answeredId, int status);
+    void attemptFailed(std::string_view target, attempt_failure failure, std::string_view reason,
+                       absl::Time now);
+    void overloaded(const admitted_request &request, const overload_cause &cause, absl::Time now);
+    void ended(const request_end &end, absl::Time now);
+
+private:
+    std::int64_t ageMs(absl::Time now) const;
+
+    edge_context &m_context;
+    std::string m_requestId;
+    absl::Time m_arrivedAt;
+};
+
+} // namespace quetzal
--- a/apps/edge/request_run.cpp
+++ b/apps/edge/request_run.cpp
@@ -41,6 +41,7 @@
                          request_head head, std::string body, absl::Time arrivedAt)
     : m_context(context)
     , m_caller(std::move(caller))
+    , m_log(context, arrivedAt)
     , m_timer(context.loop)
     , m_head(std::move(head))
     , m_body(std::move(body))
@@ -49,11 +50,6 @@
 {
 }
 
-absl::Duration request_run::age() const
-{
-    return edgeNow() - m_arrivedAt;
-}
-
 void request_run::start()
 {
     const auto description = platform::describeRequest(m_head);
@@ -62,6 +58,7 @@
         return;
     }
     m_description = *description;
+    m_log.setRequestId(m_description.id);
     if (m_context.isClosed) {
         reject({.status = statusUnavailable,
                 .code = result_code::RouterStopping,
@@ -110,19 +107,7 @@
     m_relay = relay::None;
     m_answerBody.clear();
     m_answerHead = {};
-    m_context.log.line("request_sent")
-        .text("request", m_description.id)
-        .text("route", rule.name)
-        .text("workspace", m_admitted->workspace)
-        .text("target", where.target)
-        .number("configuration", m_admitted->table->version())
-        .number("ageMs", absl::ToInt64Milliseconds(now - m_arrivedAt))
-        .number("backlogMs", absl::ToInt64Milliseconds(where.backlog))
-        .number("workMs", absl::ToInt64Milliseconds(where.work))
-        .number("missingTokens", where.missingTokens)
-        .number("candidates", static_cast<std::int64_t>(where.candidates))
-        .number("routersHeard", static_cast<std::int64_t>(m_context.node.fleet().heard(now)))
-        .flag("cold", where.isCold);
+    m_log.sent(*m_admitted, where, now);
     m_connection = m_context.pool.take({.target = where.target,
                                         .address = where.address,
                                         .mostConnections = where.mostConnections,
@@ -133,7 +118,6 @@
         retryOrFail(attempt_failure::NotSent);
         return;
     }
-    m_context.metrics.onSend();
     const request_head head = platform::toTarget(m_head,
                                                  {.target = where.target,
                                                   .workspace = m_admitted->workspace,
@@ -178,11 +162,7 @@
                                  .at = edgeNow()});
     const bool isOurs = m_answer.requestId == m_description.id;
     if (!isOurs && !(m_answer.requestId.empty() && m_answer.isUnrun)) {
-        m_context.log.line("answer_mismatched")
-            .text("request", m_description.id)
-            .text("target", m_target)
-            .text("answered", m_answer.requestId)
-            .number("status", head.status);
+        m_log.answerMismatched(m_target, m_answer.requestId, head.status);
         return answer_use::Skip;
     }
     if (m_answer.idleTimeout)
@@ -202,7 +182,7 @@
 {
     m_answerBegan = true;
     m_context.node.onAnswerBegan(m_number, m_target, edgeNow());
-    m_context.metrics.onFirstByte(m_admitted->rule->kind, age());
+    m_log.answerBegan(m_admitted->rule->kind, edgeNow());
 }
 
 void request_run::onBody(const std::string &text)
@@ -273,6 +253,8 @@
         const bool isWorthIt = mayTryAgain(*m_admitted->rule, next)
             && m_context.node.trySpendRepeat(m_admitted->service, edgeNow());
         m_history = next;
+        m_log.attemptFailed(m_target, attempt_failure::Failed,
+                            "status " + std::to_string(m_answer.status), edgeNow());
         if (isWorthIt) {
             place();
             return;
@@ -286,7 +268,7 @@
     if (m_relay == relay::Streaming) {
         const auto caller = m_caller.lock();
         passOn(m_events.takeRest());
-        logEnd("answered", m_answerHead.status, 0);
+        logEnd("answered", m_answerHead.status, result_code::Ok);
         finish();
         if (caller) {
             const bool close = !caller->mayStayOpen();
@@ -305,7 +287,7 @@
         return;
     }
     const auto caller = m_caller.lock();
-    logEnd("answered", m_answerHead.status, 0);
+    logEnd("answered", m_answerHead.status, result_code::Ok);
     finish();
     if (!caller)
         return;
@@ -326,7 +308,7 @@
     m_context.node.onEnded(m_number, m_target,
                            cause.isSent ? exchange_end::Lost : exchange_end::NotSent, edgeNow());
     if (m_relay == relay::Streaming && !mayResume()) {
-        logAttempt(failure);
+        m_log.attemptFailed(m_target, failure, std::exchange(m_failureReason, {}), edgeNow());
         m_history = after(m_history, failure);
         abortAnswer("stream_broken");
         return;
@@ -358,7 +340,7 @@
     if (!m_connection && failure == attempt_failure::NotSent)
         m_context.node.onEnded(m_number, m_target, exchange_end::Cancelled, edgeNow());
     m_history = after(m_history, failure);
-    logAttempt(failure);
+    m_log.attemptFailed(m_target, failure, std::exchange(m_failureReason, {}), edgeNow());
     const absl::Time now = edgeNow();
     const bool mayPlace = now < m_admitted->dueAt && mayTryAgain(*m_admitted->rule, m_history)
         && (!needsBudget(m_history) || m_context.node.trySpendRepeat(m_admitted->service, now));
@@ -389,9 +371,8 @@
     }
     const auto caller = m_caller.lock();
     if (reason.overload)
-        logOverload(*reason.overload);
-    logEnd(m_history.isUnrun() ? "rejected" : "failed", reason.status,
-           static_cast<int>(reason.code));
+        m_log.overloaded(*m_admitted, *reason.overload, edgeNow());
+    logEnd(m_history.isUnrun() ? "rejected" : "failed", reason.status, reason.code);
     finish();
     if (!caller)
         return;
@@ -425,14 +406,14 @@
         return;
     if (m_connection)
         releaseTarget(exchange_end::Cancelled);
-    logEnd("caller_gone", 0, static_cast<int>(result_code::CallerGone));
+    logEnd("caller_gone", 0, result_code::CallerGone);
     finish();
 }
 
 void request_run::abortAnswer(std::string_view reason)
 {
     const auto caller = m_caller.lock();
-    logEnd(reason, statusBadGateway, static_cast<int>(result_code::AnswerTruncated));
+    logEnd(reason, statusBadGateway, result_code::AnswerTruncated);
     finish();
     if (caller)
         caller->abort();
@@ -444,47 +425,14 @@
     m_timer.cancel();
 }
 
-void request_run::logAttempt(attempt_failure failure)
-{
-    m_context.metrics.onAttemptFailed(toText(failure));
-    m_context.log.line("attempt_failed")
-        .text("request", m_description.id)
-        .text("target", m_target)
-        .text("failure", toText(failure))
-        .text("reason", std::exchange(m_failureReason, {}))
-        .number("answerStatus", m_answerHead.status)
-        .number("sentMsAgo", absl::ToInt64Milliseconds(edgeNow() - m_sentAt))
-        .number("ageMs", absl::ToInt64Milliseconds(age()));
-}
-
-void request_run::logOverload(const overload_cause &cause)
-{
-    m_context.log.line("request_overload")
-        .text("request", m_description.id)
-        .text("route", m_admitted->rule->name)
-        .text("workspace", m_admitted->workspace)
-        .text("bestTarget", cause.target)
-        .number("configuration", m_admitted->table->version())
-        .number("backlogMs", absl::ToInt64Milliseconds(cause.backlog))
-        .number("limitMs", absl::ToInt64Milliseconds(cause.limit))
-        .number("servedTokens", static_cast<std::int64_t>(cause.share.servedTokens))
-        .number("owedTokens", static_cast<std::int64_t>(cause.share.owedTokens.value_or(-1.0)))
-        .number("routersHeard", static_cast<std::int64_t>(m_context.node.fleet().heard(edgeNow())));
-}
-
-void request_run::logEnd(std::string_view outcome, int status, int code)
+void request_run::logEnd(std::string_view outcome, int status, result_code code)
 {
-    m_context.metrics.onEnd(std::string(outcome), code, age());
-    const auto &table = m_context.node.routes();
-    m_context.log.line("request_ended")
-        .text("request", m_description.id)
-        .number("configuration", table ? table->version() : 0)
-        .text("outcome", outcome)
-        .number("status", status)
-        .number("code", code)
-        .number("ageMs", absl::ToInt64Milliseconds(age()))
-        .text("target", m_target)
-        .number("mayHaveRun", m_history.mayHaveRun);
+    m_log.ended({.outcome = outcome,
+                 .status = status,
+                 .code = code,
+                 .target = m_target,
+                 .mayHaveRun = m_history.mayHaveRun},
+                edgeNow());
 }
 
 } // namespace quetzal
--- a/apps/edge/request_run.h
+++ b/apps/edge/request_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apps/edge/edge_context.h"
+#include "apps/edge/request_log.h"
 #include "apps/edge/target_connection.h"
 #include "forwarding/request/answer_description.h"
 #include "forwarding/request/attempt_rules.h"
@@ -62,13 +63,11 @@
     bool mayResume() const;
     void abortAnswer(std::string_view reason);
     void finish();
-    void logAttempt(attempt_failure failure);
-    void logOverload(const overload_cause &cause);
-    void logEnd(std::string_view outcome, int status, int code);
-    absl::Duration age() const;
+    void logEnd(std::string_view outcome, int status, result_code code);
 
     edge_context &m_context;
     std::weak_ptr<caller_connection> m_caller;
+    request_log m_log;
     boost::asio::steady_timer m_timer;
     request_head m_head;
     std::string m_body;
--- /dev/null
+++ b/apps/edge/store_feed.cpp
@@ -0,0 +1,188 @@
+#include "apps/edge/store_feed.h"
+
+#include "apps/edge/edge_clock.h"
+#include "platform/platform.h"
+
+#include <algorithm>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+/** The prefix of the records of this product's routers. */
+constexpr char memberPrefix[] = "quetzalreach/members/";
+constexpr int statusOk = 200;
+constexpr int statusNoContent = 204;
+constexpr int statusNotFound = 404;
+constexpr absl::Duration announceTimeout = absl::Seconds(1);
+
+} // namespace
+
+store_feed::store_feed(edge_context &context, peer_exchange &peers, store_feed_options options)
+    : m_context(context)
+    , m_peers(peers)
+    , m_options(std::move(options))
+    , m_configuration(context.loop, context.log, m_options.store, platform::operatorPrefix,
+                      {.onChanges = [this](const auto &news, bool) { onConfiguration(news); },
+                       .onTouch = {},
+                       .nextPeer =
+                           [this] {
+                               return m_peers.nextPeer();
+                           }})
+    , m_targets(context.loop, context.log, m_options.store, platform::targetPrefix,
+                {.onChanges = [this](const auto &news, bool first) { onTargets(news, first); },
+                 .onTouch = [this](bool inTouch) { onTargetsTouch(inTouch); },
+                 .nextPeer =
+                     [this] {
+                         return m_peers.nextPeer();
+                     }})
+    , m_members(context.loop, context.log, m_options.store, memberPrefix,
+                {.onChanges = [this](const auto &, bool) { onMembers(); },
+                 .onTouch = {},
+                 .nextPeer =
+                     [this] {
+                         return m_peers.nextPeer();
+                     }})
+    , m_announcer(std::make_shared<http_client>(context.loop, m_options.store))
+{
+}
+
+void store_feed::start()
+{
+    m_configuration.start();
+    m_targets.start();
+    m_members.start();
+}
+
+bool store_feed::isComplete() const
+{
+    return m_context.node.routes() && m_targets.follower().mirror().isComplete()
+        && m_members.follower().mirror().isComplete();
+}
+
+void store_feed::onConfiguration(const std::vector<key_change> &changes)
+{
+    bool evacuationChanged = false;
+    for (const key_change &change : changes) {
+        if (change.key == platform::configurationKey && change.value) {
+            auto options = platform::readConfiguration(*change.value);
+            if (!options) {
+                m_context.log.line("configuration_unreadable").number("revision", change.revision);
+                continue;
+            }
+            const std::int64_t version = options->version;
+            const bool taken = m_context.node.setRoutes(
+                std::make_shared<const route_table>(std::move(*options)));
+            m_context.log.line("configuration")
+                .number("version", version)
+                .number("revision", change.revision)
+                .flag("inForce", taken);
+        }
+        evacuationChanged = evacuationChanged || !platform::evacuatedDataCentre(change.key).empty();
+    }
+    if (!evacuationChanged)
+        return;
+    absl::flat_hash_set<std::string> evacuated;
+    for (const stored_item &item : m_configuration.follower().mirror().items()) {
+        const std::string name = platform::evacuatedDataCentre(item.key);
+        if (!name.empty())
+            evacuated.insert(name);
+    }
+    m_context.log.line("evacuation")
+        .number("dataCentres", static_cast<std::int64_t>(evacuated.size()));
+    m_context.node.setEvacuated(evacuated, edgeNow());
+}
+
+void store_feed::onTargets(const std::vector<key_change> &changes, bool first)
+{
+    const absl::Time now = edgeNow();
+    for (const key_change &change : changes) {
+        const std::string id = platform::targetIdOf(change.key);
+        const auto record
+            = change.value ? platform::readTarget(change.key, *change.value) : std::nullopt;
+        auto line = m_context.log.line(record ? "target" : "target_removed");
+        line.text("target", id).number("revision", change.revision);
+        if (!record) {
+            line.flag("unreadable", change.value.has_value());
+            m_context.node.removeTarget(id, now);
+            m_context.pool.closeIdle(id);
+            continue;
+        }
+        line.text("service", record->service)
+            .text("dataCentre", record->dataCentre)
+            .flag("leaving", record->isLeaving)
+            .number("coldMs", absl::ToInt64Milliseconds(record->coldFor))
+            .number("startedAtMs", record->startedAtMs);
+        m_context.node.applyTarget(*record, first, now);
+        if (record->isLeaving)
+            m_context.pool.closeIdle(id);
+    }
+}
+
+void store_feed::onTargetsTouch(bool inTouch)
+{
+    if (inTouch)
+        m_context.node.directory().onListBack(edgeNow());
+    else
+        m_context.node.directory().onListLost(edgeNow());
+}
+
+void store_feed::onMembers()
+{
+    router_group group {.self = m_options.vm, .members = {m_options.vm}};
+    std::vector<std::string> hosts;
+    const std::string_view prefix = memberPrefix;
+    for (const stored_item &item : m_members.follower().mirror().items()) {
+        const std::string name = item.key.substr(prefix.size());
+        if (name == m_options.vm)
+            continue;
+        group.members.push_back(name);
+        hosts.push_back(item.value);
+    }
+    m_peers.setPeers(std::move(hosts));
+    m_context.log.line("routers").number("count", static_cast<std::int64_t>(group.members.size()));
+    m_context.node.setRouters(std::move(group));
+}
+
+void store_feed::announce()
+{
+    if (m_isAnnounced || m_isAnnouncing || !m_members.follower().mirror().isComplete())
+        return;
+    const std::string key = memberPrefix + m_options.vm;
+    const std::vector<stored_item> items = m_members.follower().mirror().items();
+    m_isAnnounced = std::any_of(items.begin(), items.end(), [&](const stored_item &item) {
+        return item.key == key && item.value == m_options.host;
+    });
+    if (m_isAnnounced)
+        return;
+    m_isAnnouncing = true;
+    const platform::store_call call = platform::writeCall(key, m_options.host);
+    m_announcer->call({.method = call.method,
+                       .target = call.target,
+                       .body = call.body,
+                       .timeout = announceTimeout},
+                      [this](const std::optional<http_result> &result) {
+                          m_isAnnouncing = false;
+                          m_isAnnounced = result && result->status == statusOk;
+                      });
+}
+
+status_page store_feed::copyPage(const std::string &path) const
+{
+    for (const mirror_session *session : {&m_configuration, &m_targets, &m_members}) {
+        const std::string start = mirrorPath + session->follower().mirror().prefix() + "?after=";
+        if (!path.starts_with(start))
+            continue;
+        std::int64_t revision = 0;
+        std::from_chars(path.data() + start.size(), path.data() + path.size(), revision);
+        std::string copy = session->copyAfter(revision);
+        const int status = copy.empty() ? statusNoContent : statusOk;
+        return {.status = status, .body = std::move(copy)};
+    }
+    return {.status = statusNotFound, .body = {}};
+}
+
+} // namespace quetzal
--- a/modules/http/message/request_reader.cpp
+++ b/modules/http/message/request_reader.cpp
@@ -1,8 +1,6 @@
 #include "http/message/request_reader.h"
 
-#include "http/message/field_collector.h"
-
-#include <boost/beast/http/basic_parser.hpp>
+#include "http/message/collecting_parser.h"
 
 #include <algorithm>
 #include <limits>
@@ -24,49 +22,20 @@
 
 } // namespace
 
-class request_reader::parser : public http::basic_parser<true>
+class request_reader::parser : public collecting_parser<true, request_head>
 {
 public:
-    request_head head;
-    std::string body;
     /** Eleven for HTTP/1.1. */
     int httpVersion = 0;
 
 private:
     void on_request_impl(http::verb, boost::string_view method, boost::string_view target,
-                         int version, boost::system::error_code &) override
+                         int version, error_code &) override
     {
         head.method.assign(method.data(), method.size());
         head.target.assign(target.data(), target.size());
         httpVersion = version;
     }
-    void on_response_impl(int, boost::string_view, int, boost::system::error_code &) override { }
-    void on_field_impl(http::field, boost::string_view name, boost::string_view value,
-                       boost::system::error_code &) override
-    {
-        addField(head.fields, name, value);
-    }
-    void on_header_impl(boost::system::error_code &) override { }
-    void on_body_init_impl(const boost::optional<std::uint64_t> &,
-                           boost::system::error_code &) override
-    {
-    }
-    std::size_t on_body_impl(boost::string_view text, boost::system::error_code &) override
-    {
-        body.append(text.data(), text.size());
-        return text.size();
-    }
-    void on_chunk_header_impl(std::uint64_t, boost::string_view,
-                              boost::system::error_code &) override
-    {
-    }
-    std::size_t on_chunk_body_impl(std::uint64_t, boost::string_view text,
-                                   boost::system::error_code &) override
-    {
-        body.append(text.data(), text.size());
-        return text.size();
-    }
-    void on_finish_impl(boost::system::error_code &) override { }
 };
 
 request_reader::request_reader(request_limits limits)
@@ -144,7 +113,6 @@
 void request_reader::checkHead()
 {
     request_head &head = m_parser->head;
-    head.keepAlive = m_parser->keep_alive();
     head.expectsContinue = equalNames(head.fields.valueOf("Expect"), "100-continue");
     const std::string *coding = head.fields.find("Transfer-Encoding");
     const bool codingIsOdd = coding != nullptr
--- a/modules/http/message/response_reader.cpp
+++ b/modules/http/message/response_reader.cpp
@@ -1,8 +1,6 @@
 #include "http/message/response_reader.h"
 
-#include "http/message/field_collector.h"
-
-#include <boost/beast/http/basic_parser.hpp>
+#include "http/message/collecting_parser.h"
 
 #include <limits>
 #include <utility>
@@ -18,49 +16,13 @@
 
 } // namespace
 
-class response_reader::parser : public http::basic_parser<false>
+class response_reader::parser : public collecting_parser<false, response_head>
 {
-public:
-    response_head head;
-    std::string body;
-
-private:
-    void on_request_impl(http::verb, boost::string_view, boost::string_view, int,
-                         boost::system::error_code &) override
-    {
-    }
-    void on_response_impl(int status, boost::string_view reason, int,
-                          boost::system::error_code &) override
+    void on_response_impl(int status, boost::string_view reason, int, error_code &) override
     {
         head.status = status;
         head.reason.assign(reason.data(), reason.size());
     }
-    void on_field_impl(http::field, boost::string_view name, boost::string_view value,
-                       boost::system::error_code &) override
-    {
-        addField(head.fields, name, value);
-    }
-    void on_header_impl(boost::system::error_code &) override { head.keepAlive = keep_alive(); }
-    void on_body_init_impl(const boost::optional<std::uint64_t> &,
-                           boost::system::error_code &) override
-    {
-    }
-    std::size_t on_body_impl(boost::string_view text, boost::system::error_code &) override
-    {
-        body.append(text.data(), text.size());
-        return text.size();
-    }
-    void on_chunk_header_impl(std::uint64_t, boost::string_view,
-                              boost::system::error_code &) override
-    {
-    }
-    std::size_t on_chunk_body_impl(std::uint64_t, boost::string_view text,
-                                   boost::system::error_code &) override
-    {
-        body.append(text.data(), text.size());
-        return text.size();
-    }
-    void on_finish_impl(boost::system::error_code &) override { }
 };
 
 response_reader::response_reader(bool isHead)
