--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -3,7 +3,6 @@
 #include "apps/edge/edge_clock.h"
 #include "platform/platform.h"
 
-#include <algorithm>
 #include <charconv>
 #include <string_view>
 #include <utility>
@@ -17,7 +16,7 @@
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotFound = 404;
-constexpr absl::Duration announceTimeout = absl::Seconds(1);
+constexpr absl::Duration writeTimeout = absl::Seconds(1);
 
 } // namespace
 
@@ -41,12 +40,12 @@
                      }})
     , m_members(context.loop, context.log, m_options.store, memberPrefix,
                 {.onChanges = [this](const auto &, bool) { onMembers(); },
-                 .onTouch = {},
+                 .onTouch = [this](bool inTouch) { onMembersTouch(inTouch); },
                  .nextPeer =
                      [this] {
                          return m_peers.nextPeer();
                      }})
-    , m_announcer(std::make_shared<http_client>(context.loop, m_options.store))
+    , m_writer(std::make_shared<http_client>(context.loop, m_options.store))
 {
 }
 
@@ -131,43 +130,72 @@
 }
 
 void store_feed::onMembers()
+{
+    const absl::Time now = edgeNow();
+    const std::string_view prefix = memberPrefix;
+    std::vector<member> records;
+    for (const stored_item &item : m_members.follower().mirror().items())
+        records.push_back(
+            {.vm = item.key.substr(prefix.size()), .host = item.value, .revision = item.revision});
+    m_memberTable.apply(records, now);
+    shareWithMembers(now);
+}
+
+void store_feed::onMembersTouch(bool inTouch)
+{
+    if (inTouch)
+        m_memberTable.onRecordsBack(edgeNow());
+}
+
+void store_feed::shareWithMembers(absl::Time now)
 {
     router_group group {.self = m_options.vm, .members = {m_options.vm}};
     std::vector<std::string> hosts;
-    const std::string_view prefix = memberPrefix;
-    for (const stored_item &item : m_members.follower().mirror().items()) {
-        const std::string name = item.key.substr(prefix.size());
-        if (name == m_options.vm)
+    for (const member &entry : m_memberTable.current(now)) {
+        if (entry.vm == m_options.vm)
             continue;
-        group.members.push_back(name);
-        hosts.push_back(item.value);
+        group.members.push_back(entry.vm);
+        hosts.push_back(entry.host);
     }
-    m_peers.setPeers(std::move(hosts));
+    if (group == m_context.node.routers() && hosts == m_hosts)
+        return;
+    m_hosts = hosts;
     m_context.log.line("routers").number("count", static_cast<std::int64_t>(group.members.size()));
+    m_peers.setPeers(std::move(hosts));
     m_context.node.setRouters(std::move(group));
 }
 
-void store_feed::announce()
+void store_feed::maintainMembership(absl::Time now)
 {
-    if (m_isAnnounced || m_isAnnouncing || !m_members.follower().mirror().isComplete())
+    if (m_isWriting || !m_members.follower().isInTouch()
+        || !m_members.follower().mirror().isComplete())
         return;
-    const std::string key = memberPrefix + m_options.vm;
-    const std::vector<stored_item> items = m_members.follower().mirror().items();
-    m_isAnnounced = std::any_of(items.begin(), items.end(), [&](const stored_item &item) {
-        return item.key == key && item.value == m_options.host;
-    });
-    if (m_isAnnounced)
+    shareWithMembers(now);
+    if (now - m_announcedAt >= member_table::renewal) {
+        write(platform::writeCall(memberPrefix + m_options.vm, m_options.host),
+              [this, now] { m_announcedAt = now; });
         return;
-    m_isAnnouncing = true;
-    const platform::store_call call = platform::writeCall(key, m_options.host);
-    m_announcer->call({.method = call.method,
-                       .target = call.target,
-                       .body = call.body,
-                       .timeout = announceTimeout},
-                      [this](const std::optional<http_result> &result) {
-                          m_isAnnouncing = false;
-                          m_isAnnounced = result && result->status == statusOk;
-                      });
+    }
+    const std::vector<member> expired = m_memberTable.expired(now);
+    if (expired.empty())
+        return;
+    m_context.log.line("router_forgotten").text("router", expired.front().vm);
+    write(platform::removeCall(memberPrefix + expired.front().vm, expired.front().revision), [] {});
+}
+
+void store_feed::write(const platform::store_call &call, std::function<void()> onDone)
+{
+    m_isWriting = true;
+    m_writer->call(
+        {.method = call.method, .target = call.target, .body = call.body, .timeout = writeTimeout},
+        [this, onDone = std::move(onDone)](const std::optional<http_result> &result) {
+            m_isWriting = false;
+            if (result && result->status == statusOk)
+                onDone();
+            else
+                m_context.log.line("store_write_failed")
+                    .number("status", result ? result->status : 0);
+        });
 }
 
 status_page store_feed::copyPage(const std::string &path) const
--- a/apps/edge/store_feed.h
+++ b/apps/edge/store_feed.h
@@ -5,7 +5,10 @@
 #include "apps/edge/mirror_session.h"
 #include "apps/edge/peer_exchange.h"
 #include "apps/edge/status_connection.h"
+#include "membership/table/member_table.h"
+#include "platform/store_dialect.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,8 +35,8 @@
     store_feed(edge_context &context, peer_exchange &peers, store_feed_options options);
 
     void start();
-    /** Writes this router's record unless it stands already; to be called from time to time. */
-    void announce();
+    /** Renews this router's record and removes old ones; to be called from time to time. */
+    void maintainMembership(absl::Time now);
     /** True when configuration, targets and routers are known. */
     bool isComplete() const;
     /** The copy of a prefix for another router. */
@@ -44,6 +47,10 @@
     void onTargets(const std::vector<key_change> &changes, bool first);
     void onTargetsTouch(bool inTouch);
     void onMembers();
+    void onMembersTouch(bool inTouch);
+    void shareWithMembers(absl::Time now);
+    /** One write at a time; onDone is called when the store has accepted it. */
+    void write(const platform::store_call &call, std::function<void()> onDone);
 
     edge_context &m_context;
     peer_exchange &m_peers;
@@ -51,9 +58,12 @@
     mirror_session m_configuration;
     mirror_session m_targets;
     mirror_session m_members;
-    std::shared_ptr<http_client> m_announcer;
-    bool m_isAnnouncing = false;
-    bool m_isAnnounced = false;
+    std::shared_ptr<http_client> m_writer;
+    bool m_isWriting = false;
+    member_table m_memberTable;
+    /** The hosts of the other routers, as they are in use. */
+    std::vector<std::string> m_hosts;
+    absl::Time m_announcedAt = absl::InfinitePast();
 };
 
 } // namespace quetzal
--- /dev/null
+++ b/modules/membership/table/member_table.cpp
@@ -0,0 +1,46 @@
+#include "membership/table/member_table.h"
+
+#include <utility>
+
+namespace quetzal {
+
+void member_table::apply(const std::vector<member> &records, absl::Time now)
+{
+    absl::btree_map<std::string, entry> next;
+    for (const member &record : records) {
+        const auto known = m_entries.find(record.vm);
+        const bool isRenewed
+            = known == m_entries.end() || known->second.record.revision != record.revision;
+        next[record.vm]
+            = {.record = record, .renewedAt = isRenewed ? now : known->second.renewedAt};
+    }
+    m_entries = std::move(next);
+}
+
+void member_table::onRecordsBack(absl::Time now)
+{
+    for (auto &[vm, known] : m_entries)
+        known.renewedAt = now;
+}
+
+std::vector<member> member_table::current(absl::Time now) const
+{
+    std::vector<member> members;
+    for (const auto &[vm, known] : m_entries) {
+        if (now - known.renewedAt < lifetime)
+            members.push_back(known.record);
+    }
+    return members;
+}
+
+std::vector<member> member_table::expired(absl::Time now) const
+{
+    std::vector<member> members;
+    for (const auto &[vm, known] : m_entries) {
+        if (now - known.renewedAt >= lifetime)
+            members.push_back(known.record);
+    }
+    return members;
+}
+
+} // namespace quetzal
