The store's load no longer grows with the fleet

The short wait was there to notice silent connections. Now digests carry the last change of each prefix: a watch that did not tell of a change that another router knows is renewed on a new connection, and watches wait 0.3 s a router. Then the rest of the calls were the answers to each engine's first entry, one by one: the next watch begins 120 ms after changes.

--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -204,7 +204,7 @@
 void edge_process::tick()
 {
     const absl::Time now = edgeNow();
-    m_feed.maintainMembership(now);
+    m_feed.maintain(now);
     m_pool.closeExpired(now);
     if (++m_ticks % ticksPerSettingsCheck == 0 && m_readSettings().settings != m_lastRead)
         reload("file");
--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -4,6 +4,7 @@
 #include "directory/mirror/mirror_codec.h"
 #include "platform/store_dialect.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -11,8 +12,8 @@
 
 namespace {
 
-/** How long a watch waits at the store; also how soon a silent connection is noticed. */
-constexpr absl::Duration watchWait = absl::Milliseconds(1800);
+/** How long a change that another router knows may take to arrive here. */
+constexpr absl::Duration mostBehind = absl::Milliseconds(300);
 /** The time beyond the wait in which the store must answer. */
 constexpr absl::Duration callTimeout = absl::Milliseconds(800);
 constexpr absl::Duration listTimeout = absl::Milliseconds(1500);
@@ -32,6 +33,7 @@
     , m_client(std::make_shared<http_client>(loop, store))
     , m_follower(std::move(prefix))
     , m_callbacks(std::move(callbacks))
+    , m_watchWait(shortestWatchWait)
     , m_loop(loop)
     , m_peerTimer(loop)
 {
@@ -52,6 +54,26 @@
     m_peerClient.reset();
 }
 
+void mirror_session::onChangeElsewhere(std::int64_t revision, absl::Time now)
+{
+    const prefix_mirror &mirror = m_follower.mirror();
+    if (!m_isWatching || revision <= std::max(mirror.lastChange(), mirror.revision())) {
+        m_behindSince = absl::InfiniteFuture();
+        return;
+    }
+    m_behindSince = std::min(m_behindSince, now);
+    if (now - m_behindSince < mostBehind)
+        return;
+    m_behindSince = absl::InfiniteFuture();
+    m_log.line("watch_behind")
+        .text("prefix", mirror.prefix())
+        .number("revision", mirror.revision())
+        .number("elsewhere", revision);
+    m_isWatching = false;
+    m_client->stop();
+    step();
+}
+
 void mirror_session::step()
 {
     const follower_step next = m_follower.next();
@@ -70,20 +92,22 @@
 {
     const std::string &prefix = m_follower.mirror().prefix();
     const bool isWatch = step.what == follower_step::action::Watch;
+    m_isWatching = isWatch;
     const platform::store_call call = isWatch
-        ? platform::watchCall(prefix, step.revision, watchWait)
+        ? platform::watchCall(prefix, step.revision, m_watchWait)
         : platform::listCall(prefix, step.afterKey);
     m_client->call(
         {.method = call.method,
          .target = call.target,
          .body = call.body,
-         .timeout = isWatch ? watchWait + callTimeout : listTimeout},
+         .timeout = isWatch ? m_watchWait + callTimeout : listTimeout},
         [this, step](const std::optional<http_result> &result) { onResult(step, result); });
 }
 
 void mirror_session::onResult(const follower_step &step, const std::optional<http_result> &result)
 {
     const bool isWatch = step.what == follower_step::action::Watch;
+    m_isWatching = false;
     if (result && isWatch && result->status == platform::historyLostStatus) {
         m_log.line("history_lost").text("prefix", m_follower.mirror().prefix());
         m_follower.onHistoryLost();
--- a/apps/edge/mirror_session.h
+++ b/apps/edge/mirror_session.h
@@ -26,6 +26,9 @@
     std::function<std::optional<network_address>()> nextPeer;
 };
 
+/** How long a watch waits at the store when there are few routers. */
+inline constexpr absl::Duration shortestWatchWait = absl::Milliseconds(1800);
+
 /** The path below which a router hands its copies of prefixes to the others. */
 inline constexpr char mirrorPath[] = "/mirror/";
 
@@ -41,6 +44,13 @@
 
     void start();
     void stop();
+    /** How long further watches wait at the store for a change. */
+    void setWatchWait(absl::Duration wait) { m_watchWait = wait; }
+    /**
+     * Another router knows of a change at this revision. A watch that has not told of it soon is
+     * given up for a new one on a new connection.
+     */
+    void onChangeElsewhere(std::int64_t revision, absl::Time now);
     const mirror_follower &follower() const { return m_follower; }
     /** The copy for another router that knows everything up to a revision; empty when it is no
      * news. */
@@ -63,6 +73,9 @@
     mirror_follower m_follower;
     mirror_callbacks m_callbacks;
     bool m_wasInTouch = false;
+    absl::Duration m_watchWait;
+    absl::Time m_behindSince = absl::InfiniteFuture();
+    bool m_isWatching = false;
     boost::asio::io_context &m_loop;
     boost::asio::steady_timer m_peerTimer;
     std::shared_ptr<http_client> m_peerClient;
--- a/apps/edge/peer_exchange.cpp
+++ b/apps/edge/peer_exchange.cpp
@@ -95,7 +95,10 @@
 {
     if (m_peers.empty())
         return;
-    const std::string bytes = encodeDigest(m_node.makeDigest(edgeNow()));
+    std::vector<std::int64_t> lastChanges;
+    if (m_lastChanges)
+        lastChanges = m_lastChanges();
+    const std::string bytes = encodeDigest(m_node.makeDigest(std::move(lastChanges), edgeNow()));
     for (const std::string &host : m_peers) {
         error_code lost;
         m_socket.send_to(boost::asio::buffer(bytes), endpointAt(host, m_port), 0, lost);
--- a/apps/edge/peer_exchange.h
+++ b/apps/edge/peer_exchange.h
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -25,6 +26,11 @@
                   const network_address &address);
 
     void start();
+    /** Names what tells the last changes of the store that are known here. */
+    void setLastChanges(std::function<std::vector<std::int64_t>()> lastChanges)
+    {
+        m_lastChanges = std::move(lastChanges);
+    }
     /** Replaces the hosts of the other routers. */
     void setPeers(std::vector<std::string> hosts) { m_peers = std::move(hosts); }
     /** The next router, in turn, of those that were named or heard; nothing when there is none. */
@@ -42,6 +48,7 @@
     boost::asio::steady_timer m_timer;
     forwarding_node &m_node;
     std::uint16_t m_port;
+    std::function<std::vector<std::int64_t>()> m_lastChanges;
     std::vector<std::string> m_peers;
     /** Where datagrams came from although nobody named their senders. */
     absl::flat_hash_set<std::string> m_heard;
--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -3,6 +3,7 @@
 #include "apps/edge/edge_clock.h"
 #include "platform/platform.h"
 
+#include <algorithm>
 #include <charconv>
 #include <string_view>
 #include <utility>
@@ -16,6 +17,12 @@
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotFound = 404;
+/**
+ * With more routers each watch waits longer, so that all of them together cost the store the same.
+ * Who hears of a change first tells the others, whose watches may have gone silent.
+ */
+constexpr absl::Duration watchWaitPerRouter = absl::Milliseconds(300);
+constexpr absl::Duration longestWatchWait = absl::Seconds(20);
 constexpr absl::Duration writeTimeout = absl::Seconds(1);
 
 } // namespace
@@ -51,6 +58,12 @@
 
 void store_feed::start()
 {
+    m_peers.setLastChanges([this] {
+        std::vector<std::int64_t> lastChanges;
+        for (const mirror_session *session : sessions())
+            lastChanges.push_back(session->follower().mirror().lastChange());
+        return lastChanges;
+    });
     m_configuration.start();
     m_targets.start();
     m_members.start();
@@ -165,6 +178,21 @@
     m_context.node.setRouters(std::move(group));
 }
 
+void store_feed::maintain(absl::Time now)
+{
+    const fleet_view &fleet = m_context.node.fleet();
+    const auto routers = static_cast<int>(m_context.node.routers().members.size());
+    const absl::Duration wait
+        = std::clamp(watchWaitPerRouter * routers, shortestWatchWait, longestWatchWait);
+    std::size_t prefix = 0;
+    for (mirror_session *session : sessions()) {
+        session->setWatchWait(wait);
+        session->onChangeElsewhere(fleet.lastChange(prefix, now), now);
+        ++prefix;
+    }
+    maintainMembership(now);
+}
+
 void store_feed::maintainMembership(absl::Time now)
 {
     if (m_isWriting || !m_members.follower().isInTouch()
@@ -200,7 +228,7 @@
 
 status_page store_feed::copyPage(const std::string &path) const
 {
-    for (const mirror_session *session : {&m_configuration, &m_targets, &m_members}) {
+    for (const mirror_session *session : sessions()) {
         const std::string start = mirrorPath + session->follower().mirror().prefix() + "?after=";
         if (!path.starts_with(start))
             continue;
--- a/apps/edge/store_feed.h
+++ b/apps/edge/store_feed.h
@@ -8,6 +8,7 @@
 #include "membership/table/member_table.h"
 #include "platform/store_dialect.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -35,8 +36,8 @@
     store_feed(edge_context &context, peer_exchange &peers, store_feed_options options);
 
     void start();
-    /** Renews this router's record and removes old ones; to be called from time to time. */
-    void maintainMembership(absl::Time now);
+    /** Renews watches that fell behind and this router's record; to be called from time to time. */
+    void maintain(absl::Time now);
     /** True when configuration, targets and routers are known. */
     bool isComplete() const;
     /** The copy of a prefix for another router. */
@@ -46,12 +47,23 @@
     void onConfiguration(const std::vector<key_change> &changes);
     void onTargets(const std::vector<key_change> &changes, bool first);
     void onTargetsTouch(bool inTouch);
+    void maintainMembership(absl::Time now);
     void onMembers();
     void onMembersTouch(bool inTouch);
     void shareWithMembers(absl::Time now);
     /** One write at a time; onDone is called when the store has accepted it. */
     void write(const platform::store_call &call, std::function<void()> onDone);
 
+    /** All sessions, in the order of the digests. */
+    std::array<mirror_session *, 3> sessions()
+    {
+        return {&m_configuration, &m_targets, &m_members};
+    }
+    std::array<const mirror_session *, 3> sessions() const
+    {
+        return {&m_configuration, &m_targets, &m_members};
+    }
+
     edge_context &m_context;
     peer_exchange &m_peers;
     store_feed_options m_options;
--- a/modules/directory/mirror/mirror_follower.cpp
+++ b/modules/directory/mirror/mirror_follower.cpp
@@ -18,6 +18,8 @@
     if (!m_isListing) {
         step.what = follower_step::action::Watch;
         step.revision = m_mirror.revision();
+        if (m_hadChanges)
+            step.pause = std::max(step.pause, batchPause);
         return step;
     }
     if (!m_listed.empty())
@@ -46,6 +48,7 @@
 std::vector<key_change> mirror_follower::onChanges(const change_page &page, absl::Time now)
 {
     onSuccess(now);
+    m_hadChanges = !page.changes.empty();
     return m_mirror.applyChanges(page.changes, page.at);
 }
 
--- a/modules/directory/mirror/mirror_follower.h
+++ b/modules/directory/mirror/mirror_follower.h
@@ -42,6 +42,9 @@
     static constexpr absl::Duration firstPause = absl::Milliseconds(150);
     static constexpr absl::Duration longestPause = absl::Milliseconds(600);
 
+    /** The pause after changes, so that those that follow at once come together. */
+    static constexpr absl::Duration batchPause = absl::Milliseconds(120);
+
     explicit mirror_follower(std::string prefix);
 
     follower_step next() const;
@@ -71,6 +74,7 @@
     std::vector<stored_item> m_listed;
     std::int64_t m_listedAt = 0;
     int m_failures = 0;
+    bool m_hadChanges = false;
     absl::Time m_lastSuccess = absl::InfinitePast();
 };
 
--- a/modules/directory/mirror/prefix_mirror.h
+++ b/modules/directory/mirror/prefix_mirror.h
@@ -50,6 +50,8 @@
     const std::string &prefix() const { return m_prefix; }
     /** The revision up to which everything is known; 0 before the first listing. */
     std::int64_t revision() const { return m_revision; }
+    /** The highest revision of a change below the prefix that is known. */
+    std::int64_t lastChange() const { return m_lastChange; }
     /** True once a listing was applied. */
     bool isComplete() const { return m_complete; }
     /** All items in the order of their keys. */
@@ -69,6 +71,7 @@
     /** Revisions at which keys were removed, as far as they are above the known revision. */
     absl::btree_map<std::string, std::int64_t> m_removed;
     std::int64_t m_revision = 0;
+    std::int64_t m_lastChange = 0;
     bool m_complete = false;
 };
 
--- a/modules/exchange/digest/digest_codec.cpp
+++ b/modules/exchange/digest/digest_codec.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /** The first member of each digest, so that other datagrams are told apart. */
-constexpr std::int64_t formatVersion = 1;
+constexpr std::int64_t formatVersion = 2;
 
 nlohmann::json targetsOf(const load_digest &digest)
 {
@@ -54,9 +54,9 @@
 
 std::string encodeDigest(const load_digest &digest)
 {
-    const nlohmann::json document
-        = nlohmann::json::array({formatVersion, digest.vm, digest.life, digest.sequence,
-                                 targetsOf(digest), workspacesOf(digest), promptsOf(digest)});
+    const nlohmann::json document = nlohmann::json::array(
+        {formatVersion, digest.vm, digest.life, digest.sequence, targetsOf(digest),
+         workspacesOf(digest), promptsOf(digest), digest.lastChanges});
     std::string bytes;
     nlohmann::json::to_msgpack(document, bytes);
     return bytes;
@@ -72,7 +72,8 @@
         Sequence,
         Targets,
         Workspaces,
-        Prompts
+        Prompts,
+        LastChanges
     };
     const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
     if (!document.is_array() || document.empty() || document.at(Format) != formatVersion)
@@ -80,7 +81,9 @@
     try {
         load_digest digest {.vm = document.at(Vm).get<std::string>(),
                             .sequence = document.at(Sequence).get<std::uint64_t>(),
-                            .life = document.at(Life).get<std::uint64_t>()};
+                            .life = document.at(Life).get<std::uint64_t>(),
+                            .lastChanges
+                            = document.at(LastChanges).get<std::vector<std::int64_t>>()};
         for (const nlohmann::json &row : document.at(Targets))
             digest.targets.push_back({.target = row.at(0).get<name_hash>(),
                                       .backlogMs = row.at(1).get<std::int64_t>(),
--- a/modules/exchange/digest/load_digest.h
+++ b/modules/exchange/digest/load_digest.h
@@ -50,6 +50,9 @@
     std::uint64_t sequence = 0;
     /** Tells lives of the router apart. */
     std::uint64_t life = 0;
+    /** The last change that the router knows of each prefix of the store that all routers follow.
+     */
+    std::vector<std::int64_t> lastChanges;
     std::vector<target_digest> targets;
     std::vector<workspace_digest> workspaces;
     std::vector<placed_prompt> prompts;
--- a/modules/exchange/view/fleet_view.cpp
+++ b/modules/exchange/view/fleet_view.cpp
@@ -11,7 +11,10 @@
     heard_digest &known = m_heard[digest.vm];
     if (digest.life == known.life && digest.sequence <= known.sequence)
         return false;
-    known = {.life = digest.life, .sequence = digest.sequence, .at = now};
+    known = {.life = digest.life,
+             .sequence = digest.sequence,
+             .at = now,
+             .lastChanges = digest.lastChanges};
     for (const target_digest &entry : digest.targets)
         known.targets[entry.target] = entry;
     for (const workspace_digest &entry : digest.workspaces)
@@ -59,6 +62,16 @@
     return {names.begin(), names.end()};
 }
 
+std::int64_t fleet_view::lastChange(std::size_t prefix, absl::Time now) const
+{
+    std::int64_t last = 0;
+    for (const auto &[vm, known] : m_heard) {
+        if (now - known.at <= lifetime && prefix < known.lastChanges.size())
+            last = std::max(last, known.lastChanges[prefix]);
+    }
+    return last;
+}
+
 std::size_t fleet_view::heard(absl::Time now) const
 {
     return static_cast<std::size_t>(
--- a/modules/exchange/view/fleet_view.h
+++ b/modules/exchange/view/fleet_view.h
@@ -45,6 +45,8 @@
     workspace_usage usageOf(name_hash workspace, absl::Time now) const;
     /** The workspaces that the others named. */
     std::vector<name_hash> workspaces(absl::Time now) const;
+    /** The last change of a prefix that any other router knows; prefixes count from 0. */
+    std::int64_t lastChange(std::size_t prefix, absl::Time now) const;
     /** Routers whose digest is in use. */
     std::size_t heard(absl::Time now) const;
 
@@ -54,6 +56,7 @@
         std::uint64_t life = 0;
         std::uint64_t sequence = 0;
         absl::Time at;
+        std::vector<std::int64_t> lastChanges;
         absl::flat_hash_map<name_hash, target_digest> targets;
         absl::flat_hash_map<name_hash, workspace_digest> workspaces;
     };
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -346,10 +346,12 @@
         view->second.load.onReport(report);
 }
 
-load_digest forwarding_node::makeDigest(absl::Time now)
+load_digest forwarding_node::makeDigest(std::vector<std::int64_t> lastChanges, absl::Time now)
 {
-    load_digest digest {
-        .vm = m_options.routers.self, .sequence = ++m_digestSequence, .life = m_options.life};
+    load_digest digest {.vm = m_options.routers.self,
+                        .sequence = ++m_digestSequence,
+                        .life = m_options.life,
+                        .lastChanges = std::move(lastChanges)};
     for (const auto &[target, view] : m_views) {
         if (view.load.inFlight() == 0)
             continue;
--- a/modules/telemetry/story/request_story.cpp
+++ b/modules/telemetry/story/request_story.cpp
@@ -8,6 +8,7 @@
 #include <limits>
 #include <map>
 #include <optional>
+#include <string_view>
 
 namespace quetzal {
 
@@ -17,7 +18,7 @@
 
 /** How long before the request the beliefs of its router are shown, in milliseconds. */
 constexpr std::int64_t beliefsBeforeMs = 3000;
-constexpr std::array<const char *, 4> hiddenFields {"timeMs", "vm", "event", "request"};
+constexpr std::array<std::string_view, 4> hiddenFields {"timeMs", "vm", "event", "request"};
 
 /** One log line that could be read. */
 struct story_line
@@ -55,11 +56,10 @@
 {
     std::string text = (line.timeMs >= startMs ? "+" : "") + std::to_string(line.timeMs - startMs)
         + " ms  " + line.vm + "  " + line.event;
-    for (const auto &[name, value] : line.object.items()) {
-        const auto isHidden = [&](const char *hidden) {
-            return name == hidden;
-        };
-        if (std::none_of(hiddenFields.begin(), hiddenFields.end(), isHidden))
+    for (const auto &member : line.object.items()) {
+        const std::string &name = member.key();
+        const auto &value = member.value();
+        if (std::find(hiddenFields.begin(), hiddenFields.end(), name) == hiddenFields.end())
             text += "  " + name + "="
                 + (value.is_string() ? value.get<std::string>() : value.dump());
     }
--- a/tests/directory/prefix_mirror_test.cpp
+++ b/tests/directory/prefix_mirror_test.cpp
@@ -76,6 +76,14 @@
         }
     }
 
+    SECTION("the last change counts changes below the prefix only")
+    {
+        CHECK(mirror.lastChange() == 4);
+        mirror.applyChanges({removed("a/1", 8)}, 30);
+        CHECK(mirror.lastChange() == 8);
+        CHECK(mirror.revision() == 30);
+    }
+
     SECTION("keys outside the prefix are not taken")
     {
         CHECK(mirror.applyChanges({written("b/1", "x", 20)}, 20).empty());
@@ -118,6 +126,14 @@
             CHECK(follower.next().pause == absl::ZeroDuration());
         }
 
+        AND_THEN("it pauses a little after changes, so that a burst costs one call, not one each")
+        {
+            follower.onChanges({.changes = {written("a/1", "z", 9)}, .at = 9}, now);
+            CHECK(follower.next().pause == mirror_follower::batchPause);
+            follower.onChanges({.changes = {}, .at = 9}, now);
+            CHECK(follower.next().pause == absl::ZeroDuration());
+        }
+
         AND_THEN("it lists anew when the history is lost")
         {
             follower.onHistoryLost();
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -13,6 +13,7 @@
     return {.vm = vm,
             .sequence = sequence,
             .life = 7,
+            .lastChanges = {40, 50},
             .targets = {{.target = 11, .backlogMs = 200, .inFlight = 3}},
             .workspaces = {{.workspace = 21, .askedTokens = 500, .servedTokens = 400}},
             .prompts = {{.target = 11, .parts = {{.id = 1, .tokens = 2}, {.id = 3, .tokens = 4}}}}};
@@ -60,6 +61,16 @@
         CHECK(view.at(11, start + absl::Milliseconds(150)).backlog == absl::Milliseconds(100));
     }
 
+    SECTION("the last change of the store that anybody knows")
+    {
+        load_digest ahead = digestOf("vm3", 1);
+        ahead.lastChanges = {45};
+        view.apply(ahead, start);
+        CHECK(view.lastChange(0, start) == 45);
+        CHECK(view.lastChange(1, start) == 50);
+        CHECK(view.lastChange(2, start) == 0);
+    }
+
     SECTION("digests that come late or twice change nothing")
     {
         CHECK_FALSE(view.apply(digestOf("vm1", 1), start));
--- a/tests/forwarding/forwarding_node_test.cpp
+++ b/tests/forwarding/forwarding_node_test.cpp
@@ -291,7 +291,7 @@
         = std::get<placement>(first.place(chat("a", "key1", 7, 3000), start)).target;
     for (int request = 0; request < 40; ++request)
         first.place(chat(std::to_string(request), "key1", 7 + request, 500), start);
-    const load_digest digest = first.node.makeDigest(start);
+    const load_digest digest = first.node.makeDigest({}, start);
     REQUIRE_FALSE(digest.targets.empty());
     REQUIRE_FALSE(digest.prompts.empty());
 
@@ -310,7 +310,7 @@
     {
         std::size_t told = digest.prompts.size();
         while (true) {
-            const std::size_t more = first.node.makeDigest(start).prompts.size();
+            const std::size_t more = first.node.makeDigest({}, start).prompts.size();
             if (more == 0)
                 break;
             told += more;
