forwarding_node: choosing and booking in functions of their own; gone targets are forgotten

Found by reading: what is known of a target (its load, the prompts it holds) stayed for ever, and so did entries that lapsed in an outage. Test: tests/directory "it is forgotten when the next one goes"; the views have none.

--- a/modules/directory/target/target_directory.cpp
+++ b/modules/directory/target/target_directory.cpp
@@ -1,6 +1,7 @@
 #include "directory/target/target_directory.h"
 
 #include <algorithm>
+#include <iterator>
 
 namespace quetzal {
 
@@ -36,8 +37,17 @@
     m_targets[record.id] = next;
 }
 
+void target_directory::forgetLapsed(absl::Time now)
+{
+    for (auto entry = m_targets.begin(); entry != m_targets.end();) {
+        const bool isOver = entry->second.lapsesAt < now;
+        entry = isOver ? m_targets.erase(entry) : std::next(entry);
+    }
+}
+
 void target_directory::remove(const std::string &id, absl::Time now)
 {
+    forgetLapsed(now);
     const auto found = m_targets.find(id);
     if (found == m_targets.end())
         return;
--- a/modules/directory/target/target_directory.h
+++ b/modules/directory/target/target_directory.h
@@ -70,6 +70,8 @@
 
 private:
     bool mayReceive(const target_state &state, absl::Time now) const;
+    /** Drops entries whose grace period is over. */
+    void forgetLapsed(absl::Time now);
 
     absl::btree_map<std::string, target_state> m_targets;
     absl::flat_hash_set<std::string> m_evacuated;
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -95,6 +95,7 @@
         return;
     m_coldLimiter.remove(id);
     m_targetOfHash.erase(stableHash(id));
+    forgetIfGone(id);
 }
 
 void forwarding_node::setEvacuated(const absl::flat_hash_set<std::string> &dataCentres,
@@ -172,7 +173,7 @@
 target_candidate forwarding_node::candidateFor(const target_state &state,
                                                const service_description &service,
                                                const request_description &description,
-                                               option &choice, absl::Time now)
+                                               option &possible, absl::Time now)
 {
     const target_view &view = viewOf(state.record.id, service);
     const service_speed &speed = speedOf(service);
@@ -190,11 +191,11 @@
         candidate.ownWork = speed.perRequest() / slots;
         return candidate;
     }
-    choice.missingTokens = view.cache->missingTokens(description.prompt);
+    possible.missingTokens = view.cache->missingTokens(description.prompt);
     const std::int64_t lastPart = description.prompt.empty() ? 0 : description.prompt.back().tokens;
-    const std::int64_t repeated = std::max<std::int64_t>(choice.missingTokens - lastPart, 0);
+    const std::int64_t repeated = std::max<std::int64_t>(possible.missingTokens - lastPart, 0);
     candidate.ownWork
-        = fixedModelWork + speed.perToken() * static_cast<double>(choice.missingTokens);
+        = fixedModelWork + speed.perToken() * static_cast<double>(possible.missingTokens);
     candidate.repeatedWork = speed.perToken() * static_cast<double>(repeated);
     return candidate;
 }
@@ -215,21 +216,15 @@
          .parts = {description.prompt.begin(), description.prompt.end() - 1}});
 }
 
-std::variant<placement, rejection>
-forwarding_node::place(std::uint64_t number, const admitted_request &request,
-                       const request_description &description,
-                       const absl::flat_hash_set<std::string> &excluded, absl::Time now)
+forwarding_node::choice forwarding_node::choiceFor(const admitted_request &request,
+                                                   const service_description &service,
+                                                   const request_description &description,
+                                                   const absl::flat_hash_set<std::string> &excluded,
+                                                   absl::Time now)
 {
-    const service_description *service = request.table->service(request.service);
-    const rejection nothingThere {.status = statusUnavailable,
-                                  .code = result_code::NoTargetAvailable,
-                                  .retryAfter = retryAfterStart};
-    if (service == nullptr)
-        return nothingThere;
     const std::string key = affinityKey(description.prompt);
-    const int permits = coldPermits(*service);
-    std::vector<target_candidate> candidates;
-    std::vector<option> options;
+    const int permits = coldPermits(service);
+    choice among;
     std::size_t home = 0;
     for (const target_state *state : m_directory.usable(request.service, now)) {
         const std::string &id = state->record.id;
@@ -237,19 +232,34 @@
         if (excluded.contains(id)
             || (isCold && !m_coldLimiter.maySend(id, permits, m_options.routers, now)))
             continue;
-        option choice {.state = state};
-        candidates.push_back(candidateFor(*state, *service, description, choice, now));
-        options.push_back(choice);
-        candidates.back().affinity = rendezvousWeight(key, id);
-        if (candidates.back().affinity > candidates[home].affinity)
-            home = candidates.size() - 1;
+        option possible {.state = state};
+        among.candidates.push_back(candidateFor(*state, service, description, possible, now));
+        among.candidates.back().affinity = rendezvousWeight(key, id);
+        among.options.push_back(possible);
+        if (among.candidates.back().affinity > among.candidates[home].affinity)
+            home = among.candidates.size() - 1;
     }
-    if (candidates.empty())
+    if (!among.candidates.empty())
+        among.candidates[home].isHome = service.isModelEngine();
+    return among;
+}
+
+std::variant<placement, rejection>
+forwarding_node::place(std::uint64_t number, const admitted_request &request,
+                       const request_description &description,
+                       const absl::flat_hash_set<std::string> &excluded, absl::Time now)
+{
+    const rejection nothingThere {.status = statusUnavailable,
+                                  .code = result_code::NoTargetAvailable,
+                                  .retryAfter = retryAfterStart};
+    const service_description *service = request.table->service(request.service);
+    if (service == nullptr)
+        return nothingThere;
+    const choice among = choiceFor(request, *service, description, excluded, now);
+    const auto best = chooseTarget(among.candidates, m_options.weights);
+    if (!best)
         return nothingThere;
-    candidates[home].isHome = service->isModelEngine();
-    const std::size_t best = *chooseTarget(candidates, m_options.weights);
-    const target_candidate &chosen = candidates[best];
-    const target_state &state = *options[best].state;
+    const target_candidate &chosen = among.candidates[*best];
     const share_state share = shareOf(request, now);
     const absl::Duration limit = backlogLimit(share, request.rule->aim, m_options.limits);
     if (chosen.backlog > limit)
@@ -259,13 +269,24 @@
             .retryAfter = std::max(chosen.backlog - limit / 2, leastRetryAfter),
             .overload = overload_cause {
                 .target = chosen.id, .backlog = chosen.backlog, .limit = limit, .share = share}};
+    placement where
+        = book(number, request, *service, description, chosen, among.options[*best], now);
+    where.candidates = among.candidates.size();
+    return where;
+}
 
-    target_view &view = viewOf(chosen.id, *service);
+placement forwarding_node::book(std::uint64_t number, const admitted_request &request,
+                                const service_description &service,
+                                const request_description &description,
+                                const target_candidate &chosen, const option &taken, absl::Time now)
+{
+    const target_state &state = *taken.state;
+    target_view &view = viewOf(chosen.id, service);
     const bool isCold = now < state.coldUntil;
     m_open[number] = {.service = request.service,
-                      .isModelRequest = service->isModelEngine(),
+                      .isModelRequest = service.isModelEngine(),
                       .wasAlone = chosen.backlog <= absl::ZeroDuration(),
-                      .missingTokens = options[best].missingTokens,
+                      .missingTokens = taken.missingTokens,
                       .sentAt = now};
     view.load.onSent(number, chosen.ownWork, now);
     if (view.cache) {
@@ -275,19 +296,32 @@
     }
     if (isCold)
         m_coldLimiter.onSent(chosen.id, now);
+    return {.target = chosen.id,
+            .address = state.record.address,
+            .dataCentre = state.record.dataCentre,
+            .mostConnections = connectionShare(service),
+            .isCold = isCold,
+            .backlog = chosen.backlog,
+            .work = chosen.ownWork,
+            .missingTokens = taken.missingTokens};
+}
+
+int forwarding_node::connectionShare(const service_description &service) const
+{
+    if (service.mostConnections == 0)
+        return 0;
     const auto sharers
         = static_cast<int>(std::max<std::size_t>(m_options.routers.members.size(), 1));
-    return placement {.target = chosen.id,
-                      .address = state.record.address,
-                      .dataCentre = state.record.dataCentre,
-                      .mostConnections = service->mostConnections == 0
-                          ? 0
-                          : std::max(service->mostConnections / sharers, 1),
-                      .isCold = isCold,
-                      .backlog = chosen.backlog,
-                      .work = chosen.ownWork,
-                      .missingTokens = options[best].missingTokens,
-                      .candidates = candidates.size()};
+    return std::max(service.mostConnections / sharers, 1);
+}
+
+void forwarding_node::forgetIfGone(const std::string &target)
+{
+    const auto view = m_views.find(target);
+    if (view == m_views.end() || view->second.load.inFlight() > 0
+        || m_directory.find(target) != nullptr)
+        return;
+    m_views.erase(view);
 }
 
 bool forwarding_node::trySpendRepeat(const std::string &service, absl::Time now)
@@ -338,6 +372,7 @@
         load.onFailure(lostAnswerWeight, now);
         break;
     }
+    forgetIfGone(target);
 }
 
 void forwarding_node::onReport(const std::string &target, const reported_load &report)
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -96,6 +96,25 @@
         std::int64_t missingTokens = 0;
     };
 
+    /** The targets that may get a request; both lists have the same order. */
+    struct choice
+    {
+        std::vector<target_candidate> candidates;
+        std::vector<option> options;
+    };
+
+    choice choiceFor(const admitted_request &request, const service_description &service,
+                     const request_description &description,
+                     const absl::flat_hash_set<std::string> &excluded, absl::Time now);
+    /** Counts the request at its target. */
+    placement book(std::uint64_t number, const admitted_request &request,
+                   const service_description &service, const request_description &description,
+                   const target_candidate &chosen, const option &taken, absl::Time now);
+    /** The connections to one target of a service that this router may have open; 0 for no limit.
+     */
+    int connectionShare(const service_description &service) const;
+    /** Drops what is known of a target that is no longer listed and has nothing open. */
+    void forgetIfGone(const std::string &target);
     target_view &viewOf(const std::string &target, const service_description &service);
     service_speed &speedOf(const service_description &service);
     int coldPermits(const service_description &service) const;
--- a/tests/directory/target_directory_test.cpp
+++ b/tests/directory/target_directory_test.cpp
@@ -52,6 +52,12 @@
         CHECK(directory.mayReceive("a", start + absl::Seconds(10)));
         CHECK_FALSE(directory.mayReceive("a", start + absl::Seconds(11)));
 
+        AND_THEN("it is forgotten when the next one goes")
+        {
+            directory.remove("b", start + absl::Seconds(20));
+            CHECK(directory.find("a") == nullptr);
+        }
+
         AND_THEN("its record that comes back keeps it for good")
         {
             directory.apply(engine("a"), absl::ZeroDuration(), start + absl::Seconds(10));
