--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -125,12 +125,9 @@
         m_heldBytes = held;
     }
     if (m_context.heldBytes > m_context.mostHeldBytes) {
-        const rejection full {.status = statusUnavailable,
-                              .code = result_code::RouterQueueFull,
-                              .retryAfter = retryAfterFull};
-        const std::string text = platform::ownBody(full);
-        send(toBytes(platform::ownAnswer(full, {}), {.length = text.size(), .close = true}) + text);
-        finishAnswer(true);
+        answerUnread({.status = statusUnavailable,
+                      .code = result_code::RouterQueueFull,
+                      .retryAfter = retryAfterFull});
         return;
     }
     if (m_reader->isComplete()) {
@@ -151,9 +148,25 @@
         reason.status = statusHeadTooLarge;
     if (fault == request_fault::BodyTooLarge)
         reason = {.status = statusBodyTooLarge, .code = result_code::BodyTooLarge};
-    m_context.log.line("request_unreadable").number("status", reason.status);
+    answerUnread(reason);
+}
+
+void caller_connection::answerUnread(const rejection &reason)
+{
+    std::string requestId;
+    if (m_reader && m_reader->isHeadComplete()) {
+        const auto request = platform::describeRequest(m_reader->head());
+        requestId = request ? request->id : std::string();
+    }
+    m_context.log.line("request_unread")
+        .text("request", requestId)
+        .number("status", reason.status)
+        .number("code", static_cast<int>(reason.code))
+        .number("heldBytes", static_cast<std::int64_t>(m_context.heldBytes))
+        .number("ageMs", absl::ToInt64Milliseconds(edgeNow() - m_firstByteAt));
     const std::string text = platform::ownBody(reason);
-    send(toBytes(platform::ownAnswer(reason, {}), {.length = text.size(), .close = true}) + text);
+    send(toBytes(platform::ownAnswer(reason, requestId), {.length = text.size(), .close = true})
+         + text);
     finishAnswer(true);
 }
 
@@ -302,10 +315,7 @@
         close();
         return;
     }
-    const rejection slow {.status = statusTimeout, .code = result_code::MalformedRequest};
-    const std::string text = platform::ownBody(slow);
-    send(toBytes(platform::ownAnswer(slow, {}), {.length = text.size(), .close = true}) + text);
-    finishAnswer(true);
+    answerUnread({.status = statusTimeout, .code = result_code::MalformedRequest});
 }
 
 } // namespace quetzal
--- a/apps/edge/caller_connection.h
+++ b/apps/edge/caller_connection.h
@@ -53,6 +53,8 @@
     void onEnd();
     void process();
     void onFault(request_fault fault);
+    /** The router's own answer to a request that was not read whole, after which it closes. */
+    void answerUnread(const rejection &reason);
     void startRequest();
     bool hasCallerLeft();
     void write();
--- a/apps/edge/request_run.cpp
+++ b/apps/edge/request_run.cpp
@@ -86,6 +86,10 @@
 void request_run::place()
 {
     const absl::Time now = edgeNow();
+    if (now >= m_admitted->dueAt) {
+        fail(true);
+        return;
+    }
     auto decision = m_context.node.place(m_number, *m_admitted, m_description, m_excluded, now);
     if (const auto *reason = std::get_if<rejection>(&decision)) {
         if (m_history.isUnrun())
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -175,6 +175,8 @@
     store.start("127.9.7.100", 0);
     platform_engine first("i-1", "127.9.7.11");
     platform_engine second("i-2", "127.9.7.12");
+    keys->write("servers/i-1", first.entry("s"));
+    keys->write("servers/i-2", second.entry("s"));
     edge router("127.9.7.1", store.port());
     const auto runs = [&](const std::string &id) {
         return countRuns(first, id) + countRuns(second, id);
@@ -186,8 +188,6 @@
     CHECK(early.find("Retry-After: ") != std::string::npos);
 
     keys->write("op/config", configuration(3));
-    keys->write("servers/i-1", first.entry("s"));
-    keys->write("servers/i-2", second.entry("s"));
     REQUIRE(eventually([&] { return router.isReady(); }));
     REQUIRE(eventually(
         [&] { return router.ask(post("/safe/x", "warm", "answer")).starts_with("HTTP/1.1 200"); }));
