edge log: what an accepted request was decided on, and when its answer began

A request that was sent logged neither its limit nor its workspace's share, nothing told own work from work reported by peers, and the time to the first byte was in a histogram only, not with the request. Change: request_sent and request_overload log peerBacklogMs; request_sent logs limitMs, servedTokens and owedTokens; request_ended logs answerBeganMs. No decision reads any of them.

--- a/apps/edge/request_log.cpp
+++ b/apps/edge/request_log.cpp
@@ -2,6 +2,16 @@
 
 namespace quetzal {
 
+namespace {
+
+/** Returns the fair share in tokens as logged: -1 if there is no limit. */
+std::int64_t fairShareTokens(const share_state &share)
+{
+    return static_cast<std::int64_t>(share.fairShareTokens.value_or(-1.0));
+}
+
+} // namespace
+
 request_log::request_log(edge_context &context, absl::Time arrivedAt)
     : m_context(context)
     , m_arrivedAt(arrivedAt)
@@ -25,6 +35,10 @@
         .number("configuration", request.table->version())
         .number("ageMs", ageMs(now))
         .number("backlogMs", absl::ToInt64Milliseconds(destination.backlog))
+        .number("peerBacklogMs", absl::ToInt64Milliseconds(destination.peerBacklog))
+        .number("limitMs", absl::ToInt64Milliseconds(destination.limit))
+        .number("servedTokens", static_cast<std::int64_t>(destination.share.servedTokens))
+        .number("owedTokens", fairShareTokens(destination.share))
         .number("workMs", absl::ToInt64Milliseconds(destination.work))
         .number("missingTokens", destination.missingTokens)
         .number("candidates", static_cast<std::int64_t>(destination.candidates))
@@ -35,6 +49,7 @@
 
 void request_log::answerBegan(request_kind kind, absl::Time now)
 {
+    m_answerBeganMs = ageMs(now);
     m_context.metrics.onFirstByte(kind, now - m_arrivedAt);
 }
 
@@ -69,9 +84,10 @@
         .text("bestTarget", cause.target)
         .number("configuration", request.table->version())
         .number("backlogMs", absl::ToInt64Milliseconds(cause.backlog))
+        .number("peerBacklogMs", absl::ToInt64Milliseconds(cause.peerBacklog))
         .number("limitMs", absl::ToInt64Milliseconds(cause.limit))
         .number("servedTokens", static_cast<std::int64_t>(cause.share.servedTokens))
-        .number("owedTokens", static_cast<std::int64_t>(cause.share.fairShareTokens.value_or(-1.0)))
+        .number("owedTokens", fairShareTokens(cause.share))
         .number("routersHeard",
                 static_cast<std::int64_t>(m_context.node.fleet().activePeerCount(now)));
 }
@@ -88,6 +104,7 @@
         .number("status", end.status)
         .number("code", code)
         .number("ageMs", ageMs(now))
+        .number("answerBeganMs", m_answerBeganMs)
         .text("target", end.target)
         .number("mayHaveRun", end.mayHaveRun);
 }
--- a/apps/edge/request_log.h
+++ b/apps/edge/request_log.h
@@ -37,6 +37,8 @@
     edge_context &m_context;
     std::string m_requestId;
     absl::Time m_arrivedAt;
+    /** The age of the request at the first byte of an answer; -1 if there was none. */
+    std::int64_t m_answerBeganMs = -1;
 };
 
 } // namespace quetzal
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -189,6 +189,7 @@
                                 .failures = view.load.failures(now),
                                 .isInOwnDataCentre
                                 = state.record.dataCentre == m_options.dataCentre};
+    details.peerBacklog = remote.backlog;
     const int slots = std::max(state.record.slots, 1);
     candidate.occupancy
         = static_cast<double>(view.load.inFlight() + remote.inFlight) / static_cast<double>(slots);
@@ -278,15 +279,20 @@
     const absl::Duration limit
         = backlogLimit(share, request.matchedRoute->latencyObjective, m_options.limits);
     if (chosen.backlog > limit)
-        return rejection {
-            .status = statusUnavailable,
-            .code = result_code::RouterQueueFull,
-            .retryAfter = std::max(chosen.backlog - limit / 2, minRetryAfter),
-            .overload = overload_cause {
-                .target = chosen.id, .backlog = chosen.backlog, .limit = limit, .share = share}};
+        return rejection {.status = statusUnavailable,
+                          .code = result_code::RouterQueueFull,
+                          .retryAfter = std::max(chosen.backlog - limit / 2, minRetryAfter),
+                          .overload
+                          = overload_cause {.target = chosen.id,
+                                            .backlog = chosen.backlog,
+                                            .peerBacklog = candidateSet.details[*best].peerBacklog,
+                                            .limit = limit,
+                                            .share = share}};
     placement destination = recordPlacement(number, request, *service, description, chosen,
                                             candidateSet.details[*best], now);
     destination.candidates = candidateSet.candidates.size();
+    destination.limit = limit;
+    destination.share = share;
     return destination;
 }
 
@@ -318,6 +324,7 @@
             .maxConnections = connectionShare(service),
             .isCold = isCold,
             .backlog = chosen.backlog,
+            .peerBacklog = details.peerBacklog,
             .work = chosen.ownWork,
             .missingTokens = details.missingTokens};
 }
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -107,6 +107,7 @@
     struct candidate_details
     {
         const target_state *state = nullptr;
+        absl::Duration peerBacklog;
         std::int64_t missingTokens = 0;
     };
 
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -49,6 +49,8 @@
     std::string target;
     /** The backlog of that target. */
     absl::Duration backlog;
+    /** The part of the backlog that other routers reported. */
+    absl::Duration peerBacklog;
     /** The backlog up to which the request would have been accepted. */
     absl::Duration limit;
     share_state share;
@@ -92,6 +94,11 @@
     int maxConnections = 0;
     bool isCold = false;
     absl::Duration backlog;
+    /** The part of the backlog that other routers reported. */
+    absl::Duration peerBacklog;
+    /** The backlog up to which the request was accepted. */
+    absl::Duration limit;
+    share_state share;
     absl::Duration work;
     std::int64_t missingTokens = 0;
     std::size_t candidates = 0;
--- a/tests/forwarding/forwarding_node_test.cpp
+++ b/tests/forwarding/forwarding_node_test.cpp
@@ -302,6 +302,9 @@
         const auto after = std::get<placement>(second.place(chat("c", "key2", 7, 3000), start));
         CHECK(before.backlog == absl::ZeroDuration());
         CHECK(after.backlog > before.work);
+        CHECK(before.peerBacklog == absl::ZeroDuration());
+        CHECK(after.peerBacklog > absl::ZeroDuration());
+        CHECK(after.limit == absl::Milliseconds(400));
         CHECK(second.node.fleet().activePeerCount(start) == 1);
         CHECK(second.node.fleet().workspaces(start).size() == 1);
     }
