Reproduce: a workspace at one VM is starved by one at all VMs (known red)

Cause of its not being seen: the emulator sent digests each 100 ms whatever the size of the fleet, while the programs stretch the interval to 15 ms a peer (1065 ms for 72 VMs); no emulated fleet had more than 6 VMs, no emulated workspace connected to one VM, and nothing measured shares second by second. Change: the interval is exchange/interval, used by quetzal-edge and by the emulator; share_meter checks the users' FAIR rule; load plans know workspaces at a single VM; tests/shares plays 6, 24 and 72 VMs. No decision of the product changes.

--- a/apps/edge/peer_exchange.cpp
+++ b/apps/edge/peer_exchange.cpp
@@ -2,9 +2,9 @@
 
 #include "apps/edge/edge_clock.h"
 #include "exchange/digest/digest_codec.h"
+#include "exchange/interval/digest_interval.h"
 
 #include <algorithm>
-#include <chrono>
 
 namespace quetzal {
 
@@ -13,13 +13,6 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds minInterval {100};
-/**
- * The interval grows with the number of peers, so that the rate of datagrams that one router
- * receives stays bounded: on average one per this time.
- */
-constexpr std::chrono::milliseconds intervalPerPeer {15};
-
 /** Bound of the set of discovered peers. */
 constexpr std::size_t maxDiscoveredPeers = 64;
 
@@ -84,8 +77,7 @@
 
 void peer_exchange::scheduleSend()
 {
-    const auto peers = static_cast<int>(m_peers.size());
-    m_timer.expires_after(std::max(minInterval, intervalPerPeer * peers));
+    m_timer.expires_after(absl::ToChronoNanoseconds(digestInterval(m_peers.size())));
     m_timer.async_wait([this](const error_code &error) {
         if (error)
             return;
--- a/bench/emulator/caller/caller_population.cpp
+++ b/bench/emulator/caller/caller_population.cpp
@@ -151,15 +151,18 @@
     return operation;
 }
 
-std::optional<std::size_t> caller_population::pickVm(std::size_t dataCentre)
+std::optional<std::size_t> caller_population::pickVm(const caller_operation &operation)
 {
+    const auto &single = m_plan.singleVmWorkspaces;
+    if (std::find(single.begin(), single.end(), operation.workspace) != single.end())
+        return operation.workspace % m_failedHealthChecks.size();
     std::vector<std::size_t> own;
     std::vector<std::size_t> all;
     for (std::size_t vm = 0; vm < m_failedHealthChecks.size(); ++vm) {
         if (m_failedHealthChecks[vm] >= failedChecksBeforeRemoval)
             continue;
         all.push_back(vm);
-        if (m_fleet.dataCentreOf(vm) == m_fleet.plan().dataCentres[dataCentre])
+        if (m_fleet.dataCentreOf(vm) == m_fleet.plan().dataCentres[operation.dataCentre])
             own.push_back(vm);
     }
     const std::vector<std::size_t> &candidates = own.empty() ? all : own;
@@ -174,7 +177,7 @@
     const absl::Time now = m_events.now();
     const absl::Duration remaining = operation->sentAt + kind.deadline - now;
     ++operation->attempts;
-    const auto vm = pickVm(operation->dataCentre);
+    const auto vm = pickVm(*operation);
     emulated_router *router = vm ? m_fleet.router(*vm) : nullptr;
     if (router == nullptr || remaining <= absl::ZeroDuration()) {
         retryOrConclude(operation, absl::Seconds(1), service_outcome::Failed);
@@ -189,6 +192,9 @@
     request.description.callerTimeout = remaining;
     const bool isRepeatable = kind.toRoute().isRepeatable();
     m_invariants.onAttemptSent(current->id, kind.service, isRepeatable, now);
+    if (kind.isModelRequest())
+        m_invariants.shares().onRequested(current->id, operation->workspace,
+                                          costInTokens(request.description), now);
     const absl::Duration oneWay = m_fleet.plan().callerDelay;
     m_events.after(oneWay, [this, current, request, vm = *vm, oneWay] {
         emulated_router *receiver = m_fleet.router(vm);
@@ -238,6 +244,22 @@
     attempt.isFinished = true;
     --m_openAttempts;
     m_invariants.onAttemptEnded(attempt.id, isReportedNotExecuted);
+    measureWait(attempt, isReportedNotExecuted);
+}
+
+void caller_population::measureWait(const caller_attempt &attempt, bool isReportedNotExecuted)
+{
+    const caller_operation &operation = *attempt.operation;
+    const class_plan &kind = m_plan.classes[operation.classIndex];
+    if (!kind.isModelRequest())
+        return;
+    if (isReportedNotExecuted)
+        m_invariants.shares().onRefused(operation.workspace, m_events.now());
+    const absl::Time objectiveAt = operation.sentAt + kind.latencyObjective;
+    const absl::Time answeredAt
+        = attempt.body.empty() ? m_events.now() : operation.sentAt + attempt.firstEventDelay;
+    if (answeredAt > objectiveAt)
+        m_invariants.shares().onLate(operation.workspace, objectiveAt, answeredAt);
 }
 
 void caller_population::onEvent(const std::shared_ptr<caller_attempt> &attempt,
--- a/bench/emulator/caller/caller_population.h
+++ b/bench/emulator/caller/caller_population.h
@@ -68,8 +68,11 @@
     void scheduleNext(std::size_t classIndex);
     std::shared_ptr<caller_operation> makeOperation(std::size_t classIndex);
     std::vector<prompt_part> makePrompt(const class_plan &kind, std::size_t classIndex);
-    /** Returns a random VM in rotation, preferably in the caller's data centre. */
-    std::optional<std::size_t> pickVm(std::size_t dataCentre);
+    /**
+     * Returns a random VM in rotation, preferably in the caller's data centre; always the same one
+     * for a workspace whose callers connect to a single VM.
+     */
+    std::optional<std::size_t> pickVm(const caller_operation &operation);
     void updateRotation();
     void attempt(const std::shared_ptr<caller_operation> &operation);
     void onEvent(const std::shared_ptr<caller_attempt> &attempt, const caller_event &event);
@@ -80,6 +83,8 @@
     void onStreamEnd(caller_attempt &attempt);
     void onCompleteAnswer(caller_attempt &attempt, const complete_answer &answer);
     void finishAttempt(caller_attempt &attempt, bool isReportedNotExecuted);
+    /** Measures how long the workspace of a finished attempt had to wait. */
+    void measureWait(const caller_attempt &attempt, bool isReportedNotExecuted);
     /** Retries after a delay if attempts and time remain; else concludes the request. */
     void retryOrConclude(const std::shared_ptr<caller_operation> &operation, absl::Duration wait,
                          service_outcome outcome);
--- a/bench/emulator/caller/load_plan.h
+++ b/bench/emulator/caller/load_plan.h
@@ -4,6 +4,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -82,6 +83,8 @@
     int workspaces = 16;
     /** Exponent of the Zipf distribution of requests over workspaces; 0 for equal use. */
     double workspaceSkew = 1.0;
+    /** Indexes of the workspaces whose callers all connect to the same VM, one for each. */
+    std::vector<std::size_t> singleVmWorkspaces;
     /** Fraction of the requests whose callers close the connection early. */
     double abandoningFraction = 0.0;
     std::vector<load_change> changes;
--- a/bench/emulator/fleet/fleet_plan.h
+++ b/bench/emulator/fleet/fleet_plan.h
@@ -6,6 +6,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -44,7 +45,8 @@
     absl::Duration interDataCentreDelay = absl::Microseconds(1400);
     /** One-way network delay between callers and routers. */
     absl::Duration callerDelay = absl::Milliseconds(2);
-    absl::Duration digestInterval = absl::Milliseconds(100);
+    /** The interval between digests; nothing for the interval that the number of peers requires. */
+    std::optional<absl::Duration> digestInterval;
     /** Fraction of the digests that are lost. */
     double lostDigestFraction = 0.0;
     /** True if routers exchange digests. */
--- a/bench/emulator/observation/invariant_checker.cpp
+++ b/bench/emulator/observation/invariant_checker.cpp
@@ -72,8 +72,10 @@
                      + " within the window, allowed " + std::to_string(allowed));
 }
 
-void invariant_checker::onExecutionStarted(const std::string &requestId, int lastEvent, absl::Time)
+void invariant_checker::onExecutionStarted(const std::string &requestId, int lastEvent,
+                                           absl::Time now)
 {
+    m_shares.onExecutionStarted(requestId, now);
     const auto found = m_attempts.find(requestId);
     if (found == m_attempts.end())
         return;
--- a/bench/emulator/observation/invariant_checker.h
+++ b/bench/emulator/observation/invariant_checker.h
@@ -2,6 +2,7 @@
 
 #include "emulator/fleet/fleet_plan.h"
 #include "emulator/observation/fleet_observer.h"
+#include "emulator/observation/share_meter.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -65,6 +66,8 @@
     /** Return the sums of the values passed to onPromptProcessed(). */
     std::int64_t promptTokens() const { return m_promptTokens; }
     std::int64_t repeatedTokens() const { return m_repeatedTokens; }
+    /** Returns the meter of the tokens that each workspace received. */
+    share_meter &shares() { return m_shares; }
 
 private:
     struct attempt
@@ -92,6 +95,7 @@
     std::vector<std::string> m_violations;
     std::int64_t m_promptTokens = 0;
     std::int64_t m_repeatedTokens = 0;
+    share_meter m_shares;
 };
 
 } // namespace quetzal::bench
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -1,5 +1,7 @@
 #include "emulator/router/emulated_router.h"
 
+#include "exchange/interval/digest_interval.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -162,7 +164,9 @@
         }
         m_network.sendDigest(vm(), m_node.makeDigest(std::move(lastChangeRevisions), now));
     });
-    m_network.events().after(m_options.digestInterval, [this] { sendDigests(); });
+    const std::size_t peers = m_node.routers().members.size() - 1;
+    m_network.events().after(m_options.digestInterval.value_or(digestInterval(peers)),
+                             [this] { sendDigests(); });
 }
 
 void emulated_router::onDigest(const load_digest &digest)
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -39,7 +40,8 @@
 struct emulated_router_options
 {
     forwarding_options node;
-    absl::Duration digestInterval = absl::Milliseconds(100);
+    /** The interval between digests; nothing for the interval that the number of peers requires. */
+    std::optional<absl::Duration> digestInterval;
 };
 
 /** Emulates a router process: performs the decisions of the production classes. */
--- a/bench/lab/experiment.cpp
+++ b/bench/lab/experiment.cpp
@@ -188,7 +188,8 @@
     variant.backlog.overSharePower
         = number(reader, "overSharePower", variant.backlog.overSharePower);
     variant.hasExchange = reader.optionalBoolean("exchange", variant.hasExchange);
-    variant.digestInterval = milliseconds(reader, "exchangeMs", variant.digestInterval);
+    if (const double interval = number(reader, "exchangeMs", 0.0); interval > 0.0)
+        variant.digestInterval = absl::Milliseconds(interval);
     variant.lostDigestFraction
         = reader.optionalNumber("lostDigests", 0.0, 1.0, variant.lostDigestFraction);
     reader.reportUnknownMembers();
--- a/bench/lab/experiment.h
+++ b/bench/lab/experiment.h
@@ -20,7 +20,8 @@
     choice_weights weights;
     backlog_limits backlog;
     bool hasExchange = true;
-    absl::Duration digestInterval = absl::Milliseconds(100);
+    /** The interval between digests; nothing for the interval that the number of peers requires. */
+    std::optional<absl::Duration> digestInterval;
     double lostDigestFraction = 0.0;
 };
 
--- a/modules/exchange/exchange.h
+++ b/modules/exchange/exchange.h
@@ -12,4 +12,5 @@
 
 #include "exchange/digest/digest_codec.h"
 #include "exchange/digest/load_digest.h"
+#include "exchange/interval/digest_interval.h"
 #include "exchange/view/fleet_view.h"
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -25,8 +25,6 @@
 constexpr double promptToMixedRateRatio = 2.0;
 /** The work of a model request in addition to processing its prompt. */
 constexpr absl::Duration modelRequestOverhead = absl::Milliseconds(8);
-/** An output token counts as this many prompt tokens in the configured capacity. */
-constexpr std::int64_t outputTokenWeight = 2;
 /** The number of prompts in one digest is limited so that it fits a datagram. */
 constexpr std::size_t maxPromptsPerDigest = 30;
 /** Maximum number of prompts queued for digests; further ones are dropped. */
@@ -49,12 +47,6 @@
     return std::to_string(part.id);
 }
 
-/** Returns the cost of a model request in weighted tokens, the unit of the fair shares. */
-std::int64_t costInTokens(const request_description &description)
-{
-    return tokensOf(description.prompt) + outputTokenWeight * description.maxOutputTokens;
-}
-
 } // namespace
 
 forwarding_node::forwarding_node(forwarding_options options)
--- a/modules/forwarding/request/request_description.h
+++ b/modules/forwarding/request/request_description.h
@@ -33,4 +33,7 @@
     bool operator==(const request_description &) const = default;
 };
 
+/** Returns the cost of a model request in weighted tokens, the unit of the fair shares. */
+std::int64_t costInTokens(const request_description &description);
+
 } // namespace quetzal
