Routers see each other's waiting work in fleets of any size

Cause: a router counted the work that it had sent, and the work that peers reported, down by the clock, as if the target served it alone. Class of fault: a limit for the whole fleet on a signal that lives shorter than the interval at which it is told. Change: the backlog is the work sent whose answer has not begun, and is held until the next digest. The lifetime of both follows from their interval (it was 1.5 s for all: at 100 VMs every digest would have been stale before the next one). Sums by target are kept until a digest comes, instead of a look at each peer and target. Why it works: what is held is the mean of what peers had waiting within the last interval; without arrivals it is late by one interval, where it was nothing before.

--- a/apps/edge/peer_exchange.cpp
+++ b/apps/edge/peer_exchange.cpp
@@ -2,7 +2,6 @@
 
 #include "apps/edge/edge_clock.h"
 #include "exchange/digest/digest_codec.h"
-#include "exchange/interval/digest_interval.h"
 
 #include <algorithm>
 
@@ -77,7 +76,7 @@
 
 void peer_exchange::scheduleSend()
 {
-    m_timer.expires_after(absl::ToChronoNanoseconds(digestInterval(m_peers.size())));
+    m_timer.expires_after(absl::ToChronoNanoseconds(backlogInterval(m_peers.size())));
     m_timer.async_wait([this](const error_code &error) {
         if (error)
             return;
@@ -86,15 +85,21 @@
     });
 }
 
-void peer_exchange::sendDigest()
+peer_digest peer_exchange::nextDigest(absl::Time now)
 {
-    if (m_peers.empty())
-        return;
+    if (m_schedule.next(m_peers.size(), now) == digest_kind::Backlog)
+        return m_node.makeBacklogDigest();
     std::vector<std::int64_t> lastChangeRevisions;
     if (m_lastChanges)
         lastChangeRevisions = m_lastChanges();
-    const std::string bytes
-        = encodeDigest(m_node.makeDigest(std::move(lastChangeRevisions), edgeNow()));
+    return m_node.makeDigest(std::move(lastChangeRevisions), now);
+}
+
+void peer_exchange::sendDigest()
+{
+    if (m_peers.empty())
+        return;
+    const std::string bytes = encodeDigest(nextDigest(edgeNow()));
     for (const std::string &host : m_peers) {
         error_code sendError;
         m_socket.send_to(boost::asio::buffer(bytes), endpointAt(host, m_port), 0, sendError);
--- a/apps/edge/peer_exchange.h
+++ b/apps/edge/peer_exchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/target/target_record.h"
+#include "exchange/interval/digest_interval.h"
 #include "forwarding/node/forwarding_node.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -45,10 +46,12 @@
     void onDatagram(std::size_t bytes);
     void scheduleSend();
     void sendDigest();
+    peer_digest nextDigest(absl::Time now);
 
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     forwarding_node &m_node;
+    digest_schedule m_schedule;
     std::uint16_t m_port;
     std::function<std::vector<std::int64_t>()> m_lastChanges;
     std::vector<std::string> m_peers;
--- a/bench/emulator/fleet/emulated_fleet.cpp
+++ b/bench/emulator/fleet/emulated_fleet.cpp
@@ -361,7 +361,7 @@
                    [target, exchange] { target->cancel(exchange); });
 }
 
-void emulated_fleet::sendDigest(const std::string &vm, const load_digest &digest)
+void emulated_fleet::sendDigest(const std::string &vm, const peer_digest &digest)
 {
     const emulated_vm &from = findVm(vm);
     if (!m_plan.hasExchange || from.isPartitioned)
--- a/bench/emulator/fleet/emulated_fleet.h
+++ b/bench/emulator/fleet/emulated_fleet.h
@@ -87,7 +87,7 @@
                       std::function<void(const exchange_reply &)> onReply) override;
     void cancel(const std::string &vm, const network_address &address,
                 std::uint64_t exchange) override;
-    void sendDigest(const std::string &vm, const load_digest &digest) override;
+    void sendDigest(const std::string &vm, const peer_digest &digest) override;
     std::uint64_t nextExchange() override { return ++m_lastExchange; }
 
 private:
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -3,6 +3,7 @@
 #include "emulator/router/caller_messages.h"
 #include "emulator/router/fleet_network.h"
 #include "emulator/store/emulated_mirror.h"
+#include "exchange/interval/digest_interval.h"
 #include "forwarding/lifecycle/request_lifecycle.h"
 #include "forwarding/node/forwarding_node.h"
 #include "membership/table/member_table.h"
@@ -71,7 +72,7 @@
     std::uint64_t receive(const caller_request &request, caller_sink sink);
     /** Must be called when the caller of a request disconnected. */
     void onCallerDisconnected(std::uint64_t number);
-    void onDigest(const load_digest &digest);
+    void onDigest(const peer_digest &digest);
     /** Must be called when a target closed its connections. */
     void onTargetClosed(const network_address &address);
     /**
@@ -111,6 +112,8 @@
     void onTargets(const std::vector<key_change> &changes, bool first);
     void onMembers();
     void sendDigests();
+    peer_digest nextDigest(absl::Time now);
+    std::size_t peerCount() const { return m_node.routers().members.size() - 1; }
     void perform(std::uint64_t number, const request_actions &actions);
     void send(std::uint64_t number, const send_request &action);
     void onReply(std::uint64_t number, std::uint64_t exchange, const exchange_reply &reply);
@@ -123,6 +126,7 @@
     const store_documents &m_documents;
     emulated_router_options m_options;
     forwarding_node m_node;
+    digest_schedule m_digestSchedule;
     std::vector<std::unique_ptr<emulated_mirror>> m_mirrors;
     member_table m_members;
     std::function<std::optional<listing_page>(std::size_t, std::int64_t)> m_copyFromPeer;
--- a/bench/emulator/router/fleet_network.h
+++ b/bench/emulator/router/fleet_network.h
@@ -44,7 +44,7 @@
                         std::uint64_t exchange)
         = 0;
     /** Sends a digest to all other routers. */
-    virtual void sendDigest(const std::string &vm, const load_digest &digest) = 0;
+    virtual void sendDigest(const std::string &vm, const peer_digest &digest) = 0;
     /** Returns a unique number for an exchange. */
     virtual std::uint64_t nextExchange() = 0;
 };
--- a/modules/exchange/digest/digest_codec.cpp
+++ b/modules/exchange/digest/digest_codec.cpp
@@ -3,13 +3,25 @@
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
+#include <variant>
 
 namespace quetzal {
 
 namespace {
 
-/** The first member of each digest, which distinguishes digests from other datagrams. */
-constexpr std::int64_t formatVersion = 2;
+/** The first member of each digest, which tells its kind and version. */
+constexpr std::int64_t loadFormat = 2;
+constexpr std::int64_t backlogFormat = 3;
+
+/** The members of both kinds of digests, in their order. */
+enum common_member : std::size_t
+{
+    Format,
+    Vm,
+    Incarnation,
+    Sequence,
+    FirstSpecific
+};
 
 nlohmann::json targetsOf(const load_digest &digest)
 {
@@ -50,51 +62,82 @@
     return entry;
 }
 
-} // namespace
+nlohmann::json toDocument(const load_digest &digest)
+{
+    return nlohmann::json::array({loadFormat, digest.vm, digest.incarnation, digest.sequence,
+                                  targetsOf(digest), workspacesOf(digest), promptsOf(digest),
+                                  digest.lastChangeRevisions});
+}
 
-std::string encodeDigest(const load_digest &digest)
+nlohmann::json toDocument(const backlog_digest &digest)
 {
-    const nlohmann::json document = nlohmann::json::array(
-        {formatVersion, digest.vm, digest.incarnation, digest.sequence, targetsOf(digest),
-         workspacesOf(digest), promptsOf(digest), digest.lastChangeRevisions});
-    std::string bytes;
-    nlohmann::json::to_msgpack(document, bytes);
-    return bytes;
+    nlohmann::json rows = nlohmann::json::array();
+    for (const target_backlog &entry : digest.backlogs)
+        rows.push_back({entry.target, entry.backlogMs});
+    return nlohmann::json::array(
+        {backlogFormat, digest.vm, digest.incarnation, digest.sequence, std::move(rows)});
 }
 
-std::optional<load_digest> decodeDigest(std::string_view bytes)
+load_digest readLoad(const nlohmann::json &document)
 {
     enum member : std::size_t
     {
-        Format,
-        Vm,
-        Incarnation,
-        Sequence,
-        Targets,
+        Targets = FirstSpecific,
         Workspaces,
         Prompts,
         LastChangeRevisions
     };
+    load_digest digest {.vm = document.at(Vm).get<std::string>(),
+                        .sequence = document.at(Sequence).get<std::uint64_t>(),
+                        .incarnation = document.at(Incarnation).get<std::uint64_t>(),
+                        .lastChangeRevisions
+                        = document.at(LastChangeRevisions).get<std::vector<std::int64_t>>()};
+    for (const nlohmann::json &row : document.at(Targets))
+        digest.targets.push_back({.target = row.at(0).get<name_hash>(),
+                                  .backlogMs = row.at(1).get<std::int64_t>(),
+                                  .inFlight = row.at(2).get<std::int64_t>()});
+    for (const nlohmann::json &row : document.at(Workspaces))
+        digest.workspaces.push_back({.workspace = row.at(0).get<name_hash>(),
+                                     .requestedTokens = row.at(1).get<std::int64_t>(),
+                                     .servedTokens = row.at(2).get<std::int64_t>()});
+    for (const nlohmann::json &row : document.at(Prompts))
+        digest.prompts.push_back(readPrompt(row));
+    return digest;
+}
+
+backlog_digest readBacklogs(const nlohmann::json &document)
+{
+    backlog_digest digest {.vm = document.at(Vm).get<std::string>(),
+                           .sequence = document.at(Sequence).get<std::uint64_t>(),
+                           .incarnation = document.at(Incarnation).get<std::uint64_t>()};
+    for (const nlohmann::json &row : document.at(FirstSpecific))
+        digest.backlogs.push_back(
+            {.target = row.at(0).get<name_hash>(), .backlogMs = row.at(1).get<std::int64_t>()});
+    return digest;
+}
+
+} // namespace
+
+std::string encodeDigest(const peer_digest &digest)
+{
+    const nlohmann::json document
+        = std::visit([](const auto &kind) { return toDocument(kind); }, digest);
+    std::string bytes;
+    nlohmann::json::to_msgpack(document, bytes);
+    return bytes;
+}
+
+std::optional<peer_digest> decodeDigest(std::string_view bytes)
+{
     const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-    if (!document.is_array() || document.empty() || document.at(Format) != formatVersion)
+    if (!document.is_array() || document.empty())
         return std::nullopt;
     try {
-        load_digest digest {.vm = document.at(Vm).get<std::string>(),
-                            .sequence = document.at(Sequence).get<std::uint64_t>(),
-                            .incarnation = document.at(Incarnation).get<std::uint64_t>(),
-                            .lastChangeRevisions
-                            = document.at(LastChangeRevisions).get<std::vector<std::int64_t>>()};
-        for (const nlohmann::json &row : document.at(Targets))
-            digest.targets.push_back({.target = row.at(0).get<name_hash>(),
-                                      .backlogMs = row.at(1).get<std::int64_t>(),
-                                      .inFlight = row.at(2).get<std::int64_t>()});
-        for (const nlohmann::json &row : document.at(Workspaces))
-            digest.workspaces.push_back({.workspace = row.at(0).get<name_hash>(),
-                                         .requestedTokens = row.at(1).get<std::int64_t>(),
-                                         .servedTokens = row.at(2).get<std::int64_t>()});
-        for (const nlohmann::json &row : document.at(Prompts))
-            digest.prompts.push_back(readPrompt(row));
-        return digest;
+        if (document.at(Format) == loadFormat)
+            return readLoad(document);
+        if (document.at(Format) == backlogFormat)
+            return readBacklogs(document);
+        return std::nullopt;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
--- a/modules/exchange/digest/digest_codec.h
+++ b/modules/exchange/digest/digest_codec.h
@@ -9,9 +9,9 @@
 namespace quetzal {
 
 /** Returns the digest encoded as one datagram (MessagePack). */
-std::string encodeDigest(const load_digest &digest);
+std::string encodeDigest(const peer_digest &digest);
 
 /** Decodes a datagram; returns nothing if it is malformed or not a digest. */
-std::optional<load_digest> decodeDigest(std::string_view bytes);
+std::optional<peer_digest> decodeDigest(std::string_view bytes);
 
 } // namespace quetzal
--- a/modules/exchange/digest/load_digest.h
+++ b/modules/exchange/digest/load_digest.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <variant>
 #include <vector>
 
 namespace quetzal {
@@ -15,7 +16,7 @@
 struct target_digest
 {
     name_hash target = 0;
-    /** The backlog at the target in milliseconds. */
+    /** The work that the target has not begun to answer, in milliseconds. */
     std::int64_t backlogMs = 0;
     /** The number of requests that have not ended. */
     std::int64_t inFlight = 0;
@@ -50,7 +51,7 @@
 {
     /** The name of the sender. */
     std::string vm;
-    /** Increases with each digest of one incarnation of the router. */
+    /** Increases with each digest of either kind of one incarnation of the router. */
     std::uint64_t sequence = 0;
     /** Distinguishes runs of the router across restarts. */
     std::uint64_t incarnation = 0;
@@ -65,4 +66,30 @@
     bool operator==(const load_digest &) const = default;
 };
 
+/** The work of one router that one target has not begun to answer. */
+struct target_backlog
+{
+    name_hash target = 0;
+    std::int64_t backlogMs = 0;
+
+    bool operator==(const target_backlog &) const = default;
+};
+
+/**
+ * The backlogs of one router, sent between its load digests; a target that is not listed has none.
+ */
+struct backlog_digest
+{
+    std::string vm;
+    /** Increases with each digest of either kind. */
+    std::uint64_t sequence = 0;
+    std::uint64_t incarnation = 0;
+    std::vector<target_backlog> backlogs;
+
+    bool operator==(const backlog_digest &) const = default;
+};
+
+/** A digest that a router sends to its peers. */
+using peer_digest = std::variant<load_digest, backlog_digest>;
+
 } // namespace quetzal
--- a/modules/exchange/view/fleet_view.cpp
+++ b/modules/exchange/view/fleet_view.cpp
@@ -6,35 +6,84 @@
 
 namespace quetzal {
 
+fleet_view::received_digests *fleet_view::entryFor(const std::string &vm, std::uint64_t incarnation,
+                                                   std::uint64_t sequence)
+{
+    received_digests &known = m_received[vm];
+    if (incarnation == known.incarnation && sequence <= known.sequence)
+        return nullptr;
+    if (incarnation != known.incarnation)
+        known = {.incarnation = incarnation};
+    known.sequence = sequence;
+    m_sumsValidUntil = absl::InfinitePast();
+    return &known;
+}
+
 bool fleet_view::apply(const load_digest &digest, absl::Time now)
 {
-    received_digest &known = m_received[digest.vm];
-    if (digest.incarnation == known.incarnation && digest.sequence <= known.sequence)
+    received_digests *known = entryFor(digest.vm, digest.incarnation, digest.sequence);
+    if (known == nullptr)
         return false;
-    known = {.incarnation = digest.incarnation,
-             .sequence = digest.sequence,
-             .receivedAt = now,
-             .lastChangeRevisions = digest.lastChangeRevisions};
-    for (const target_digest &entry : digest.targets)
-        known.targets[entry.target] = entry;
+    known->loadReceivedAt = now;
+    known->backlogsReceivedAt = now;
+    known->lastChangeRevisions = digest.lastChangeRevisions;
+    known->backlogs.clear();
+    known->inFlight.clear();
+    known->workspaces.clear();
+    for (const target_digest &entry : digest.targets) {
+        known->backlogs[entry.target] = absl::Milliseconds(entry.backlogMs);
+        known->inFlight[entry.target] = static_cast<int>(entry.inFlight);
+    }
     for (const workspace_digest &entry : digest.workspaces)
-        known.workspaces[entry.workspace] = entry;
+        known->workspaces[entry.workspace] = entry;
     return true;
 }
 
-remote_load fleet_view::loadOf(name_hash target, absl::Time now) const
+bool fleet_view::apply(const backlog_digest &digest, absl::Time now)
+{
+    received_digests *known = entryFor(digest.vm, digest.incarnation, digest.sequence);
+    if (known == nullptr)
+        return false;
+    known->backlogsReceivedAt = now;
+    known->backlogs.clear();
+    for (const target_backlog &entry : digest.backlogs)
+        known->backlogs[entry.target] = absl::Milliseconds(entry.backlogMs);
+    return true;
+}
+
+void fleet_view::sumLoads(absl::Time now) const
 {
-    remote_load sum;
+    const absl::Duration backlogLifetime = digestLifetime(backlogInterval(m_peers));
+    const absl::Duration loadLifetime = digestLifetime(digestInterval(m_peers));
+    m_sums.clear();
+    m_sumsValidUntil = absl::InfiniteFuture();
     for (const auto &[vm, known] : m_received) {
-        const absl::Duration age = now - known.receivedAt;
-        const auto found = known.targets.find(target);
-        if (age > lifetime || found == known.targets.end())
-            continue;
-        sum.backlog
-            += std::max(absl::Milliseconds(found->second.backlogMs) - age, absl::ZeroDuration());
-        sum.inFlight += static_cast<int>(found->second.inFlight);
+        const absl::Time backlogsUntil = known.backlogsReceivedAt + backlogLifetime;
+        const absl::Time loadUntil = known.loadReceivedAt + loadLifetime;
+        if (now <= backlogsUntil) {
+            m_sumsValidUntil = std::min(m_sumsValidUntil, backlogsUntil);
+            for (const auto &[target, backlog] : known.backlogs)
+                m_sums[target].backlog += backlog;
+        }
+        if (now <= loadUntil) {
+            m_sumsValidUntil = std::min(m_sumsValidUntil, loadUntil);
+            for (const auto &[target, inFlight] : known.inFlight)
+                m_sums[target].inFlight += inFlight;
+        }
     }
-    return sum;
+}
+
+remote_load fleet_view::loadOf(name_hash target, absl::Time now) const
+{
+    if (now > m_sumsValidUntil)
+        sumLoads(now);
+    const auto found = m_sums.find(target);
+    return found == m_sums.end() ? remote_load {} : found->second;
+}
+
+bool fleet_view::isLoadCurrent(const received_digests &known, absl::Time now) const
+{
+    return now - known.loadReceivedAt <= digestLifetime(digestInterval(m_peers));
 }
 
 workspace_usage fleet_view::usageOf(name_hash workspace, absl::Time now) const
@@ -42,7 +91,7 @@
     workspace_usage sum;
     for (const auto &[vm, known] : m_received) {
         const auto found = known.workspaces.find(workspace);
-        if (now - known.receivedAt > lifetime || found == known.workspaces.end())
+        if (!isLoadCurrent(known, now) || found == known.workspaces.end())
             continue;
         sum.requestedTokens += found->second.requestedTokens;
         sum.servedTokens += found->second.servedTokens;
@@ -54,7 +103,7 @@
 {
     absl::flat_hash_set<name_hash> names;
     for (const auto &[vm, known] : m_received) {
-        if (now - known.receivedAt > lifetime)
+        if (!isLoadCurrent(known, now))
             continue;
         for (const auto &[workspace, entry] : known.workspaces)
             names.insert(workspace);
@@ -66,7 +115,7 @@
 {
     std::int64_t last = 0;
     for (const auto &[vm, known] : m_received) {
-        if (now - known.receivedAt <= lifetime && prefix < known.lastChangeRevisions.size())
+        if (isLoadCurrent(known, now) && prefix < known.lastChangeRevisions.size())
             last = std::max(last, known.lastChangeRevisions[prefix]);
     }
     return last;
@@ -75,9 +124,8 @@
 std::size_t fleet_view::activePeerCount(absl::Time now) const
 {
     return static_cast<std::size_t>(
-        std::count_if(m_received.begin(), m_received.end(), [&](const auto &entry) {
-            return now - entry.second.receivedAt <= lifetime;
-        }));
+        std::count_if(m_received.begin(), m_received.end(),
+                      [&](const auto &entry) { return isLoadCurrent(entry.second, now); }));
 }
 
 } // namespace quetzal
--- a/modules/exchange/view/fleet_view.h
+++ b/modules/exchange/view/fleet_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "exchange/digest/load_digest.h"
+#include "exchange/interval/digest_interval.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
@@ -29,19 +30,21 @@
     bool operator==(const workspace_usage &) const = default;
 };
 
-/** The load reported by the other routers: keeps the last digest of each. */
+/** The load reported by the other routers: keeps the last digests of each. */
 class fleet_view
 {
 public:
-    /** The time after which a digest is stale and ignored. */
-    static constexpr absl::Duration lifetime = absl::Milliseconds(1500);
+    /** Sets the number of other routers, from which the lifetime of their digests follows. */
+    void setPeerCount(std::size_t peers) { m_peers = peers; }
 
     /** Stores a digest; false if it is out of order or a duplicate. */
     bool apply(const load_digest &digest, absl::Time now);
+    bool apply(const backlog_digest &digest, absl::Time now);
 
     /**
-     * Returns the load of the other routers at a target; backlogs decrease with the age of the
-     * digest.
+     * Returns the load of the other routers at a target. A backlog is held until the next digest of
+     * its router: until then the router adds about as much as the target processes, and the target
+     * processes the work of all routers, not only of one.
      */
     remote_load loadOf(name_hash target, absl::Time now) const;
     /** Returns the tokens that a workspace requested and received at the other routers. */
@@ -53,21 +56,34 @@
      * given by its zero-based position; 0 if none is known.
      */
     std::int64_t lastChangeRevision(std::size_t prefix, absl::Time now) const;
-    /** Returns the number of routers whose digest is not stale. */
+    /** Returns the number of routers whose load digest is not stale. */
     std::size_t activePeerCount(absl::Time now) const;
 
 private:
-    struct received_digest
+    struct received_digests
     {
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
-        absl::Time receivedAt;
+        absl::Time loadReceivedAt = absl::InfinitePast();
+        absl::Time backlogsReceivedAt = absl::InfinitePast();
         std::vector<std::int64_t> lastChangeRevisions;
-        absl::flat_hash_map<name_hash, target_digest> targets;
+        absl::flat_hash_map<name_hash, absl::Duration> backlogs;
+        absl::flat_hash_map<name_hash, int> inFlight;
         absl::flat_hash_map<name_hash, workspace_digest> workspaces;
     };
 
-    absl::flat_hash_map<std::string, received_digest> m_received;
+    /** Returns the entry of a digest's sender; null if the digest is out of order. */
+    received_digests *entryFor(const std::string &vm, std::uint64_t incarnation,
+                               std::uint64_t sequence);
+    bool isLoadCurrent(const received_digests &known, absl::Time now) const;
+    /** Sums the loads of all routers by target, and sets until when the sums are valid. */
+    void sumLoads(absl::Time now) const;
+
+    std::size_t m_peers = 0;
+    absl::flat_hash_map<std::string, received_digests> m_received;
+    /** The cached sums of all routers by target; invalid after m_sumsValidUntil. */
+    mutable absl::flat_hash_map<name_hash, remote_load> m_sums;
+    mutable absl::Time m_sumsValidUntil = absl::InfinitePast();
 };
 
 } // namespace quetzal
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -55,6 +55,12 @@
 {
 }
 
+void forwarding_node::setRouters(router_group routers)
+{
+    m_options.routers = std::move(routers);
+    m_fleet.setPeerCount(std::max<std::size_t>(m_options.routers.members.size(), 1) - 1);
+}
+
 bool forwarding_node::setRoutes(std::shared_ptr<const route_table> table)
 {
     if (m_table && table->version() <= m_table->version())
@@ -176,7 +182,7 @@
     const service_speed &speed = speedOf(service);
     const remote_load remote = m_fleet.loadOf(stableHash(state.record.id), now);
     target_candidate candidate {.id = state.record.id,
-                                .backlog = view.load.backlog(now) + remote.backlog,
+                                .backlog = view.load.backlog() + remote.backlog,
                                 .overdue = view.load.overdue(now),
                                 .failures = view.load.failures(now),
                                 .isInOwnDataCentre
@@ -413,7 +419,7 @@
         if (view.load.inFlight() == 0)
             continue;
         digest.targets.push_back({.target = stableHash(target),
-                                  .backlogMs = absl::ToInt64Milliseconds(view.load.backlog(now)),
+                                  .backlogMs = absl::ToInt64Milliseconds(view.load.backlog()),
                                   .inFlight = view.load.inFlight()});
     }
     digest.workspaces = m_accounts.digest(now);
@@ -424,7 +430,28 @@
     return digest;
 }
 
-void forwarding_node::onDigest(const load_digest &digest, absl::Time now)
+backlog_digest forwarding_node::makeBacklogDigest()
+{
+    backlog_digest digest {.vm = m_options.routers.self,
+                           .sequence = ++m_digestSequence,
+                           .incarnation = m_options.incarnation};
+    for (const auto &[target, view] : m_views) {
+        const std::int64_t backlogMs = absl::ToInt64Milliseconds(view.load.backlog());
+        if (backlogMs > 0)
+            digest.backlogs.push_back({.target = stableHash(target), .backlogMs = backlogMs});
+    }
+    return digest;
+}
+
+void forwarding_node::onDigest(const peer_digest &digest, absl::Time now)
+{
+    if (const auto *load = std::get_if<load_digest>(&digest))
+        onLoadDigest(*load, now);
+    else
+        m_fleet.apply(std::get<backlog_digest>(digest), now);
+}
+
+void forwarding_node::onLoadDigest(const load_digest &digest, absl::Time now)
 {
     if (!m_fleet.apply(digest, now))
         return;
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -35,7 +35,7 @@
     /** Returns the active configuration; null before the first one. */
     const std::shared_ptr<const route_table> &routes() const { return m_table; }
     /** Replaces the list of routers that share the limits of the fleet. */
-    void setRouters(router_group routers) { m_options.routers = std::move(routers); }
+    void setRouters(router_group routers);
     /** Replaces the limits of the fleet; the window of the retry budget stays. */
     void setFleetLimits(const fleet_limits &limits);
     const router_group &routers() const { return m_options.routers; }
@@ -82,8 +82,10 @@
      * each prefix of the store. Each prompt is included in one digest only.
      */
     load_digest makeDigest(std::vector<std::int64_t> lastChangeRevisions, absl::Time now);
+    /** Returns the digest of backlogs to send to the other routers between two load digests. */
+    backlog_digest makeBacklogDigest();
     /** Applies a digest that was received from another router. */
-    void onDigest(const load_digest &digest, absl::Time now);
+    void onDigest(const peer_digest &digest, absl::Time now);
     /** Returns the load and usage reported by the other routers. */
     const fleet_view &fleet() const { return m_fleet; }
 
@@ -148,6 +150,7 @@
                                   const request_description &description,
                                   candidate_details &details, absl::Time now);
     share_state shareOf(const admitted_request &request, absl::Time now);
+    void onLoadDigest(const load_digest &digest, absl::Time now);
     /** Queues the shared parts of a prompt for the digests to the other routers. */
     void queuePromptForDigest(const std::string &target, const request_description &description);
 
--- a/modules/placement/load/target_load.cpp
+++ b/modules/placement/load/target_load.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-absl::Duration target_load::unansweredWork() const
+absl::Duration target_load::backlog() const
 {
     absl::Duration sum;
     for (const auto &[id, request] : m_requests) {
@@ -34,13 +34,13 @@
     if (found == m_requests.end() || found->second.answerBegan)
         return;
     found->second.answerBegan = true;
-    m_busyUntil = std::min(m_busyUntil, now + unansweredWork());
+    m_busyUntil = std::min(m_busyUntil, now + backlog());
 }
 
 void target_load::onEnded(std::uint64_t request, absl::Time now)
 {
     m_requests.erase(request);
-    m_busyUntil = std::min(m_busyUntil, now + unansweredWork());
+    m_busyUntil = std::min(m_busyUntil, now + backlog());
 }
 
 void target_load::onFailure(double weight, absl::Time now)
@@ -49,12 +49,6 @@
     m_failuresAt = now;
 }
 
-absl::Duration target_load::backlog(absl::Time now) const
-{
-    const absl::Duration untilIdle = std::max(m_busyUntil - now, absl::ZeroDuration());
-    return std::min(untilIdle, unansweredWork());
-}
-
 absl::Duration target_load::overdue(absl::Time now) const
 {
     for (const auto &[id, request] : m_requests) {
--- a/modules/placement/load/target_load.h
+++ b/modules/placement/load/target_load.h
@@ -43,8 +43,11 @@
     /** Stores the load that the target reported. */
     void onReport(const reported_load &report) { m_report = report; }
 
-    /** Returns how long the target needs from now for the unanswered requests of this router. */
-    absl::Duration backlog(absl::Time now) const;
+    /**
+     * Returns the total work of the requests of this router whose answers have not begun. It does
+     * not decrease while a request waits, since the target may process the work of other routers.
+     */
+    absl::Duration backlog() const;
     /** Returns how long the answer to the oldest unanswered request is overdue. */
     absl::Duration overdue(absl::Time now) const;
     /** Returns the sum of the failure weights, each decaying exponentially. */
@@ -62,9 +65,6 @@
         bool answerBegan = false;
     };
 
-    /** Returns the total work of the requests whose answers have not begun. */
-    absl::Duration unansweredWork() const;
-
     absl::btree_map<std::uint64_t, sent_request> m_requests;
     absl::Time m_busyUntil = absl::InfinitePast();
     reported_load m_report;
