Shares follow what the targets really serve, request by request

Cause: shares were worked out from the nominal tokensPerS. Class of fault: a share measured against an assumed capacity; where it is off, the limit is on or off for all alike and does not share anything. Change: the fair level divides what was accepted within the window, over all routers, and there is none while at least 97% of the demand is. Of a workspace that asks for more than the level, the fraction within it is accepted up to the objective, the rest up to a quarter of it; which request is within is drawn from its identifier, so that all routers agree and none has to know what others admitted since their last digest. The limit by the square of the excess goes: it stood in for a share. Demand counts where it is accepted or rejected for overload, once a request. Why it works: what is accepted cannot exceed for long what the targets serve, since nothing is accepted beyond the limits on waiting work; so the level settles where the demand within shares fills the targets.

--- a/apps/edge/request_log.cpp
+++ b/apps/edge/request_log.cpp
@@ -37,6 +37,7 @@
         .number("backlogMs", absl::ToInt64Milliseconds(destination.backlog))
         .number("peerBacklogMs", absl::ToInt64Milliseconds(destination.peerBacklog))
         .number("limitMs", absl::ToInt64Milliseconds(destination.limit))
+        .number("requestedTokens", static_cast<std::int64_t>(destination.share.requestedTokens))
         .number("servedTokens", static_cast<std::int64_t>(destination.share.servedTokens))
         .number("owedTokens", fairShareTokens(destination.share))
         .number("workMs", absl::ToInt64Milliseconds(destination.work))
@@ -86,6 +87,7 @@
         .number("backlogMs", absl::ToInt64Milliseconds(cause.backlog))
         .number("peerBacklogMs", absl::ToInt64Milliseconds(cause.peerBacklog))
         .number("limitMs", absl::ToInt64Milliseconds(cause.limit))
+        .number("requestedTokens", static_cast<std::int64_t>(cause.share.requestedTokens))
         .number("servedTokens", static_cast<std::int64_t>(cause.share.servedTokens))
         .number("owedTokens", fairShareTokens(cause.share))
         .number("routersHeard",
--- a/modules/admission/limit/backlog_limit.h
+++ b/modules/admission/limit/backlog_limit.h
@@ -1,49 +1,31 @@
 #pragma once
 
-#include <absl/time/time.h>
+#include "admission/share/share_state.h"
 
-#include <optional>
+#include <absl/time/time.h>
 
 namespace quetzal {
 
 /** Settings of the backlog up to which requests are accepted. */
 struct backlog_limits
 {
-    /** Ratio of the limit to the latency objective for workspaces below their fair share. */
+    /** Ratio of the limit to the latency objective for requests within their workspace's share. */
     double underShare = 1.0;
-    /**
-     * The same ratio for workspaces that have reached their fair share while demand exceeds the
-     * capacity.
-     */
+    /** The same ratio for requests beyond the fair share. */
     double overShare = 0.25;
-    /**
-     * Exponent of the ratio of fair share to usage, by which the limit decreases beyond the fair
-     * share.
-     */
-    double overSharePower = 2.0;
 
     bool operator==(const backlog_limits &) const = default;
 };
 
-/** The usage of one workspace within the window, and its fair share. */
-struct share_state
-{
-    /** The tokens that were served to the workspace. */
-    double servedTokens = 0.0;
-    /** The max-min fair share; nothing while the capacity covers all demand. */
-    std::optional<double> fairShareTokens;
-
-    bool operator==(const share_state &) const = default;
-};
-
 /**
  * Returns the backlog of the best target above which a request is rejected at once.
  *
- * Without a backlog no request is rejected, whatever its workspace has used before. With a backlog,
- * workspaces that have reached their fair share are rejected before those that have not, and the
- * earlier the further they are beyond it.
+ * Without a backlog no request is rejected, whatever its workspace requests. With a backlog,
+ * requests beyond the fair share are rejected before those within it. @param draw a number in [0,
+ * 1) that is uniformly distributed over the requests of a workspace; it decides whether this one is
+ * within the share
  */
-absl::Duration backlogLimit(const share_state &share, absl::Duration latencyObjective,
+absl::Duration backlogLimit(const share_state &share, double draw, absl::Duration latencyObjective,
                             const backlog_limits &limits);
 
 } // namespace quetzal
--- /dev/null
+++ b/modules/admission/share/share_state.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+namespace quetzal {
+
+/** The usage of one workspace within the window, and its fair share. */
+struct share_state
+{
+    /** The tokens that the workspace requested. */
+    double requestedTokens = 0.0;
+    /** The tokens that were served to the workspace. */
+    double servedTokens = 0.0;
+    /** The max-min fair share; nothing while nearly all demand is served. */
+    std::optional<double> fairShareTokens;
+
+    bool operator==(const share_state &) const = default;
+};
+
+/** Returns which fraction of its requests a workspace has within its fair share; at most 1. */
+double fractionWithinShare(const share_state &share);
+
+/**
+ * Returns a number in [0, 1) for a request, the same on every router, uniformly distributed over
+ * request identifiers.
+ */
+double shareDraw(std::string_view requestId);
+
+} // namespace quetzal
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -58,7 +58,7 @@
         return actions;
     }
     m_admitted = std::get<admitted_request>(std::move(admission));
-    m_node.onAdmitted(*m_admitted, m_description, now);
+    m_node.onAdmitted(*m_admitted, now);
     place(actions, now);
     return actions;
 }
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -136,12 +136,9 @@
                              .deadline = deadline};
 }
 
-void forwarding_node::onAdmitted(const admitted_request &request,
-                                 const request_description &description, absl::Time now)
+void forwarding_node::onAdmitted(const admitted_request &request, absl::Time now)
 {
     m_retryBudget.onRequest(request.service, now);
-    if (!description.prompt.empty())
-        m_accounts.onRequested(request.workspace, costInTokens(description), now);
 }
 
 forwarding_node::target_view &forwarding_node::viewOf(const std::string &target,
@@ -204,12 +201,6 @@
     return candidate;
 }
 
-share_state forwarding_node::shareOf(const admitted_request &request, absl::Time now)
-{
-    return m_accounts.shareOf(request.workspace, m_fleet, request.table->limits().tokensPerSecond,
-                              now);
-}
-
 void forwarding_node::queuePromptForDigest(const std::string &target,
                                            const request_description &description)
 {
@@ -273,10 +264,14 @@
     if (!best)
         return noTarget;
     const target_candidate &chosen = candidateSet.candidates[*best];
-    const share_state share = shareOf(request, now);
-    const absl::Duration limit
-        = backlogLimit(share, request.matchedRoute->latencyObjective, m_options.limits);
-    if (chosen.backlog > limit)
+    const share_state share = m_accounts.shareOf(request.workspace, m_fleet, now);
+    const absl::Duration limit = backlogLimit(
+        share, shareDraw(description.id), request.matchedRoute->latencyObjective, m_options.limits);
+    const bool isAccepted = chosen.backlog <= limit;
+    const bool isFirstAttempt = excluded.empty();
+    if (isFirstAttempt && !description.prompt.empty())
+        m_accounts.onDecided(request.workspace, costInTokens(description), isAccepted, now);
+    if (!isAccepted)
         return rejection {.status = statusUnavailable,
                           .code = result_code::RouterQueueFull,
                           .retryAfter = std::max(chosen.backlog - limit / 2, minRetryAfter),
@@ -311,7 +306,6 @@
     view.load.onSent(number, chosen.ownWork, now);
     if (view.cache) {
         view.cache->use(description.prompt);
-        m_accounts.onServed(request.workspace, costInTokens(description), now);
         queuePromptForDigest(chosen.id, description);
     }
     if (service.coldStart > absl::ZeroDuration())
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -55,9 +55,8 @@
     /** Checks a request against the active configuration. */
     std::variant<admitted_request, rejection> admit(const request_description &request,
                                                     absl::Time arrivedAt) const;
-    /** Counts an admitted request towards the retry budget and the demand of its workspace. */
-    void onAdmitted(const admitted_request &request, const request_description &description,
-                    absl::Time now);
+    /** Counts an admitted request towards the retry budget. */
+    void onAdmitted(const admitted_request &request, absl::Time now);
     /**
      * Chooses a target that is not in excluded, and counts the request at it under this number.
      * Rejects the request if no target is available or the backlog exceeds the limit of the
@@ -149,7 +148,6 @@
     target_candidate candidateFor(const target_state &state, const service_description &service,
                                   const request_description &description,
                                   candidate_details &details, absl::Time now);
-    share_state shareOf(const admitted_request &request, absl::Time now);
     void onLoadDigest(const load_digest &digest, absl::Time now);
     /** Queues the shared parts of a prompt for the digests to the other routers. */
     void queuePromptForDigest(const std::string &target, const request_description &description);
--- a/modules/forwarding/node/workspace_accounts.cpp
+++ b/modules/forwarding/node/workspace_accounts.cpp
@@ -7,18 +7,34 @@
 
 namespace quetzal {
 
-void workspace_accounts::onRequested(const std::string &workspace, std::int64_t tokens,
-                                     absl::Time now)
+namespace {
+
+/** With this part of all demand served, no workspace is limited. */
+constexpr double servedFractionWithoutLimit = 0.97;
+
+} // namespace
+
+void workspace_accounts::onDecided(const std::string &workspace, std::int64_t tokens,
+                                   bool isAccepted, absl::Time now)
 {
-    m_accounts[stableHash(workspace)].requested.add(tokens, now);
+    account &entry = m_accounts[stableHash(workspace)];
+    entry.requested.add(tokens, now);
+    if (isAccepted)
+        entry.served.add(tokens, now);
 }
 
-void workspace_accounts::onServed(const std::string &workspace, std::int64_t tokens, absl::Time now)
+workspace_usage workspace_accounts::usageOf(name_hash workspace, const fleet_view &fleet,
+                                            absl::Time now) const
 {
-    m_accounts[stableHash(workspace)].served.add(tokens, now);
+    workspace_usage usage = fleet.usageOf(workspace, now);
+    if (const auto own = m_accounts.find(workspace); own != m_accounts.end()) {
+        usage.requestedTokens += own->second.requested.sum(now);
+        usage.servedTokens += own->second.served.sum(now);
+    }
+    return usage;
 }
 
-std::optional<double> workspace_accounts::computeFairLevel(const fleet_view &fleet, double capacity,
+std::optional<double> workspace_accounts::computeFairLevel(const fleet_view &fleet,
                                                            absl::Time now) const
 {
     const std::vector<name_hash> remote = fleet.workspaces(now);
@@ -26,29 +42,32 @@
     for (const auto &[name, entry] : m_accounts)
         names.insert(name);
     std::vector<double> requested;
+    double requestedSum = 0.0;
+    double servedSum = 0.0;
     for (const name_hash name : names) {
-        std::int64_t tokens = fleet.usageOf(name, now).requestedTokens;
-        if (const auto own = m_accounts.find(name); own != m_accounts.end())
-            tokens += own->second.requested.sum(now);
-        if (tokens > 0)
-            requested.push_back(static_cast<double>(tokens));
+        const workspace_usage usage = usageOf(name, fleet, now);
+        if (usage.requestedTokens <= 0)
+            continue;
+        requested.push_back(static_cast<double>(usage.requestedTokens));
+        requestedSum += requested.back();
+        servedSum += static_cast<double>(usage.servedTokens);
     }
-    return fairLevel(std::move(requested), capacity);
+    if (servedSum >= requestedSum * servedFractionWithoutLimit)
+        return std::nullopt;
+    return fairLevel(std::move(requested), servedSum);
 }
 
 share_state workspace_accounts::shareOf(const std::string &workspace, const fleet_view &fleet,
-                                        double tokensPerSecond, absl::Time now)
+                                        absl::Time now)
 {
     if (now - m_fairLevelAt >= fairLevelInterval) {
-        const double capacity = tokensPerSecond * absl::ToDoubleSeconds(token_window::span);
-        m_fairLevel = capacity > 0.0 ? computeFairLevel(fleet, capacity, now) : std::nullopt;
+        m_fairLevel = computeFairLevel(fleet, now);
         m_fairLevelAt = now;
     }
-    const name_hash name = stableHash(workspace);
-    std::int64_t served = fleet.usageOf(name, now).servedTokens;
-    if (const auto own = m_accounts.find(name); own != m_accounts.end())
-        served += own->second.served.sum(now);
-    return {.servedTokens = static_cast<double>(served), .fairShareTokens = m_fairLevel};
+    const workspace_usage usage = usageOf(stableHash(workspace), fleet, now);
+    return {.requestedTokens = static_cast<double>(usage.requestedTokens),
+            .servedTokens = static_cast<double>(usage.servedTokens),
+            .fairShareTokens = m_fairLevel};
 }
 
 std::vector<workspace_digest> workspace_accounts::digest(absl::Time now) const
--- a/modules/forwarding/node/workspace_accounts.h
+++ b/modules/forwarding/node/workspace_accounts.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "admission/limit/backlog_limit.h"
+#include "admission/share/share_state.h"
 #include "admission/share/token_window.h"
 #include "exchange/view/fleet_view.h"
 
@@ -23,17 +23,12 @@
     /** The interval at which the fair level is recomputed. */
     static constexpr absl::Duration fairLevelInterval = absl::Milliseconds(100);
 
-    /** Counts tokens that a workspace requested from this router. */
-    void onRequested(const std::string &workspace, std::int64_t tokens, absl::Time now);
-    /** Counts tokens of requests that were sent to a target. */
-    void onServed(const std::string &workspace, std::int64_t tokens, absl::Time now);
+    /** Counts the tokens of a request that was accepted, or rejected for overload. */
+    void onDecided(const std::string &workspace, std::int64_t tokens, bool isAccepted,
+                   absl::Time now);
 
-    /**
-     * Returns the usage and the fair share of a workspace; tokensPerSecond is the capacity of the
-     * fleet.
-     */
-    share_state shareOf(const std::string &workspace, const fleet_view &fleet,
-                        double tokensPerSecond, absl::Time now);
+    /** Returns the usage and the fair share of a workspace over all routers. */
+    share_state shareOf(const std::string &workspace, const fleet_view &fleet, absl::Time now);
     /** Returns the tokens requested from and served by this router, by workspace. */
     std::vector<workspace_digest> digest(absl::Time now) const;
 
@@ -44,9 +39,13 @@
         token_window served;
     };
 
-    /** Returns the fair level over all routers; nothing while the capacity covers all demand. */
-    std::optional<double> computeFairLevel(const fleet_view &fleet, double capacity,
-                                           absl::Time now) const;
+    /**
+     * Returns the level at which the tokens that were really served would have been shared fairly;
+     * nothing while nearly all demand is served.
+     */
+    std::optional<double> computeFairLevel(const fleet_view &fleet, absl::Time now) const;
+    /** Returns the usage of a workspace at all routers, this one included. */
+    workspace_usage usageOf(name_hash workspace, const fleet_view &fleet, absl::Time now) const;
 
     absl::flat_hash_map<name_hash, account> m_accounts;
     std::optional<double> m_fairLevel;
