--- a/modules/admission/limit/backlog_limit.h
+++ b/modules/admission/limit/backlog_limit.h
@@ -9,7 +9,7 @@
 /** Settings of the backlog up to which requests are accepted. */
 struct backlog_limits
 {
-    /** Ratio of the limit to the latency objective for requests within their workspace's share. */
+    /** Ratio of the limit to the latency objective for workspaces within their fair share. */
     double underShare = 1.0;
     /** The same ratio for requests beyond the fair share. */
     double overShare = 0.25;
@@ -21,7 +21,9 @@
  * Returns the backlog of the best target above which a request is rejected at once.
  *
  * Without a backlog no request is rejected, whatever its workspace requests. With a backlog,
- * requests beyond the fair share are rejected before those within it. @param draw a number in [0,
+ * requests beyond the fair share are rejected before those within it. The limit of the latter falls
+ * towards that of the former with the excess of their workspace, so that at a target that many
+ * workspaces need, those that stay within their share find room. @param draw a number in [0,
  * 1) that is uniformly distributed over the requests of a workspace; it decides whether this one is
  * within the share
  */
