A target that sends without end is cut off

Cause: an error's body was buffered whole, and so was an event of a resumable stream, without a bound: at the rate of the link more than the memory of a VM before the route's timeout. Interim responses (1xx) and the body of another request's answer were skipped without a bound, so that the request waited until its timeout instead of being retried. Change: more than 1 MB of an error's body, of one event or of skipped answers, and more than 8 interim responses, end the exchange as an answer that was lost; the connection is closed at once and the target counts as failing. A head was bounded already (64 KB).

--- a/apps/edge/target_connection.cpp
+++ b/apps/edge/target_connection.cpp
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds connectTimeout {400};
 /** Answers to other requests that are skipped before the exchange fails. */
 constexpr int maxSkippedAnswers = 2;
+/** The total length of their bodies. */
+constexpr std::size_t maxSkippedBytes = std::size_t {1024} * 1024;
 
 } // namespace
 
@@ -39,6 +41,7 @@
     m_isHeadAccepted = false;
     m_isSkipping = false;
     m_skipped = 0;
+    m_skippedBytes = 0;
     if (m_isOpen)
         write();
     else
@@ -137,6 +140,11 @@
             m_callbacks.onBody(body);
         if (!m_isBusy)
             return;
+        m_skippedBytes += m_isSkipping ? body.size() : 0;
+        if (m_skippedBytes > maxSkippedBytes) {
+            fail("answer_unusable", true);
+            return;
+        }
         if (!m_reader.isComplete())
             return;
         if (!m_isSkipping) {
--- a/apps/edge/target_connection.h
+++ b/apps/edge/target_connection.h
@@ -82,6 +82,7 @@
     bool m_isHead = false;
     bool m_keepAlive = true;
     int m_skipped = 0;
+    std::size_t m_skippedBytes = 0;
 };
 
 } // namespace quetzal
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -8,7 +8,10 @@
 
 namespace {
 
-/** Longer bodies are streamed to the caller before they are complete. */
+/**
+ * Longer bodies of successful answers are streamed to the caller before they are complete; longer
+ * error bodies and events are not received.
+ */
 constexpr std::size_t maxBufferedBodyBytes = std::size_t {1024} * 1024;
 constexpr int statusServerError = 500;
 constexpr int statusBadGateway = 502;
@@ -189,12 +192,14 @@
             beginStream(actions);
             actions.emplace_back(relay_body {.text = std::exchange(m_answerBody, {})});
         }
-        return actions;
+        return m_answerBody.size() > maxBufferedBodyBytes ? abandonAnswer(now) : actions;
     }
     if (!m_answerBegan)
         recordAnswerBegan(actions, now);
     std::string completeText
         = m_admitted->matchedRoute->isResumable ? m_events.add(text) : std::string(text);
+    if (m_events.partialBytes() > maxBufferedBodyBytes)
+        return abandonAnswer(now);
     if (completeText.empty())
         return actions;
     if (m_relay == relay::StreamPending)
@@ -203,6 +208,15 @@
     return actions;
 }
 
+request_actions request_lifecycle::abandonAnswer(absl::Time now)
+{
+    request_actions actions {release_target {.target = m_target, .isCancelled = true}};
+    request_actions next
+        = onSendFailed({.isSent = true, .isTargetAlive = true, .reason = "answer_too_long"}, now);
+    std::move(next.begin(), next.end(), std::back_inserter(actions));
+    return actions;
+}
+
 void request_lifecycle::beginStream(request_actions &actions)
 {
     m_relay = relay::Streaming;
--- a/modules/forwarding/lifecycle/request_lifecycle.h
+++ b/modules/forwarding/lifecycle/request_lifecycle.h
@@ -90,6 +90,8 @@
     /** Handles a complete answer with a server error: retries, or relays it. */
     void onServerError(request_actions &actions, absl::Time now);
     void relayCompleteAnswer(request_actions &actions);
+    /** Ends the exchange with a target whose answer cannot be buffered any longer. */
+    request_actions abandonAnswer(absl::Time now);
     void beginStream(request_actions &actions);
     void recordAnswerBegan(request_actions &actions, absl::Time now);
     /** Ends the request without an answer from a target. */
--- a/modules/http/message/response_reader.cpp
+++ b/modules/http/message/response_reader.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::uint32_t maxHeadBytes = 65536;
 constexpr int firstFinalStatus = 200;
+constexpr int maxInterimResponses = 8;
 
 } // namespace
 
@@ -57,13 +58,21 @@
             break;
         m_isFaulty = static_cast<bool>(error);
         if (isComplete() && m_parser->head.status < firstFinalStatus)
-            reset();
+            skipInterimResponse();
         else if (consumed == 0)
             break;
     }
     return used;
 }
 
+void response_reader::skipInterimResponse()
+{
+    if (++m_interimResponses > maxInterimResponses)
+        m_isFaulty = true;
+    else
+        reset();
+}
+
 void response_reader::consumeEnd()
 {
     if (m_isFaulty || isComplete())
--- a/modules/http/message/response_reader.h
+++ b/modules/http/message/response_reader.h
@@ -9,7 +9,7 @@
 
 namespace quetzal {
 
-/** Parses one response incrementally; interim responses (1xx) are skipped. */
+/** Parses one response incrementally; a few interim responses (1xx) are skipped. */
 class response_reader
 {
 public:
@@ -38,10 +38,12 @@
 private:
     class parser;
     void reset();
+    void skipInterimResponse();
 
     bool m_isHead;
     std::unique_ptr<parser> m_parser;
     bool m_isFaulty = false;
+    int m_interimResponses = 0;
 };
 
 } // namespace quetzal
--- a/modules/http/stream/event_scanner.h
+++ b/modules/http/stream/event_scanner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,8 @@
     std::string add(std::string_view bytes);
     /** Returns and discards the bytes of an incomplete event. */
     std::string takePartialEvent();
+    /** Returns the number of bytes of the incomplete event. */
+    std::size_t partialBytes() const { return m_buffer.size(); }
     /** Returns the identifier of the last complete event that has one. */
     const std::string &lastId() const { return m_lastId; }
 
--- a/standins/platform/platform_engine.cpp
+++ b/standins/platform/platform_engine.cpp
@@ -170,6 +170,10 @@
         write(socket, fullResponse + fullResponse);
         return true;
     }
+    if (behaviour.starts_with("endless-")) {
+        sendEndlessly(socket, behaviour, id, arrival);
+        return false;
+    }
     if (behaviour == "flood") {
         flood(socket, responseHead, arrival);
         return false;
@@ -190,6 +194,41 @@
     return true;
 }
 
+void platform_engine::sendEndlessly(tcp::socket &socket, const std::string &behaviour,
+                                    const std::string &idField, std::size_t arrival)
+{
+    const std::string filler(16384, 'x');
+    const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+    const std::string stamp = "X-Server-Stamp: " + m_id + "\r\n";
+    std::string begin;
+    std::string repeated = filler;
+    if (behaviour == "endless-fields") {
+        begin = "HTTP/1.1 200 OK\r\n";
+        repeated = "X-Filler: " + std::string(64, 'x') + "\r\n";
+    } else if (behaviour == "endless-interim") {
+        repeated = "HTTP/1.1 100 Continue\r\n\r\n";
+    } else if (behaviour == "endless-error") {
+        begin = "HTTP/1.1 500 Error\r\n" + stamp + idField + chunked;
+        repeated = toChunk(filler);
+    } else if (behaviour == "endless-other") {
+        begin = "HTTP/1.1 200 OK\r\n" + stamp + "X-Attempt-Id: another\r\n" + chunked;
+        repeated = toChunk(filler);
+    } else if (behaviour == "endless-event") {
+        begin = "HTTP/1.1 200 OK\r\n" + stamp + idField + "Content-Type: text/event-stream\r\n"
+            + chunked;
+        repeated = toChunk(filler);
+    }
+    write(socket, begin);
+    error_code error;
+    while (!error && !m_isStopping) {
+        const std::size_t written
+            = boost::asio::write(socket, boost::asio::buffer(repeated), error);
+        const std::lock_guard lock(m_mutex);
+        m_arrivals[arrival].sentBytes += written;
+        m_arrivals[arrival].callerDisconnected = static_cast<bool>(error);
+    }
+}
+
 void platform_engine::flood(tcp::socket &socket, const std::string &head, std::size_t arrival)
 {
     constexpr std::size_t chunkBytes = 16384;
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -26,7 +26,7 @@
     bool executed = false;
     /** True if the caller disconnected before the answer was complete. */
     bool callerDisconnected = false;
-    /** Bytes that the engine wrote for a request with the behaviour "flood". */
+    /** Bytes that the engine wrote for a request with "flood" or an endless behaviour. */
     std::size_t sentBytes = 0;
 };
 
@@ -43,6 +43,9 @@
  * - broken: streams events, but truncates the fourth and closes the connection, unless the request
  *   resumes a stream with Last-Event-Id.
  * - flood: streams 64 MB.
+ * - endless-line, endless-fields, endless-interim: sends a head that never ends.
+ * - endless-error, endless-other, endless-event: sends the body of an error, of another request's
+ *   answer, or of one event that never ends, until the caller closes the connection.
  *
  * Any other value, or none, gives a regular answer. Requests for another instance are answered 421.
  */
@@ -66,6 +69,9 @@
     void serve(boost::asio::ip::tcp::socket socket);
     /** Answers one request; returns false if the connection must be closed. */
     bool answer(boost::asio::ip::tcp::socket &socket, const request_reader &request);
+    /** Writes until the caller closes the connection. */
+    void sendEndlessly(boost::asio::ip::tcp::socket &socket, const std::string &behaviour,
+                       const std::string &idField, std::size_t arrival);
     void flood(boost::asio::ip::tcp::socket &socket, const std::string &head, std::size_t arrival);
     void streamEvents(boost::asio::ip::tcp::socket &socket, const std::string &head,
                       const request_head &request, std::size_t arrival);
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -167,6 +167,17 @@
     return runs;
 }
 
+/** True if all requests with this identifier ended because the router closed the connection. */
+bool isCutOff(platform_engine &engine, const std::string &id, std::size_t maxSentBytes)
+{
+    for (const engine_arrival &arrival : engine.arrivals()) {
+        const bool isOpen = arrival.requestId == id && !arrival.callerDisconnected;
+        if (isOpen || arrival.sentBytes > maxSentBytes)
+            return false;
+    }
+    return true;
+}
+
 } // namespace
 
 TEST_CASE("an edge process with callers, a store and two engines over loopback", "[edge]")
@@ -294,6 +305,24 @@
         }
     }
 
+    SECTION("a target that sends without end is cut off, and its bytes reach no caller")
+    {
+        for (const std::string engineAction : {"endless-line", "endless-fields", "endless-interim",
+                                               "endless-error", "endless-other", "endless-event"}) {
+            INFO(engineAction);
+            const std::string route = engineAction == "endless-event" ? "/resume/x" : "/safe/x";
+            const std::string answer = router.answerTo(post(route, engineAction, engineAction));
+            CHECK(answer.starts_with("HTTP/1.1 502"));
+            CHECK(answer.size() < 1000);
+            constexpr std::size_t maxSentBytes = 16000000;
+            CHECK(eventually([&] {
+                return isCutOff(first, engineAction, maxSentBytes)
+                    && isCutOff(second, engineAction, maxSentBytes);
+            }));
+        }
+        CHECK(router.answerTo(post("/safe/x", "after", "answer")).starts_with("HTTP/1.1 200"));
+    }
+
     SECTION("a request that every engine rejected is answered with Retry-After")
     {
         const std::string refused = router.answerTo(post("/once/x", "r1", "refuse"));
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -217,6 +217,21 @@
         CHECK(find<relay_answer>(last)->body == "why");
     }
 
+    SECTION("cuts off a target whose error never ends, and is retried")
+    {
+        request.onAnswerHead({.requestId = "r", .status = 500}, start);
+        const std::string part(65536, 'x');
+        request_actions actions;
+        for (int number = 0; number < 100 && find<send_request>(actions) == nullptr; ++number)
+            actions = request.onAnswerBody(part, start);
+        const auto *released = find<release_target>(actions);
+        REQUIRE(released != nullptr);
+        CHECK(released->isCancelled);
+        const auto *next = find<send_request>(actions);
+        REQUIRE(next != nullptr);
+        CHECK(next->destination.target != released->target);
+    }
+
     SECTION("is not retried after its deadline")
     {
         const request_actions last = request.onSendFailed(lost, start + absl::Seconds(4));
--- a/tests/http/response_reader_test.cpp
+++ b/tests/http/response_reader_test.cpp
@@ -74,4 +74,23 @@
         CHECK(reader.isComplete());
         CHECK(reader.head().status == 200);
     }
+
+    SECTION("a head that never ends is a fault")
+    {
+        std::string bytes = "HTTP/1.1 200 OK\r\n";
+        std::size_t sent = 0;
+        while (!reader.isFaulty() && sent < 1000000) {
+            bytes.erase(0, reader.consume(bytes));
+            bytes += "X-Filler: 0123456789\r\n";
+            sent += 22;
+        }
+        CHECK(reader.isFaulty());
+    }
+
+    SECTION("interim responses without end are a fault")
+    {
+        for (int number = 0; number < 100 && !reader.isFaulty(); ++number)
+            reader.consume("HTTP/1.1 100 Continue\r\n\r\n");
+        CHECK(reader.isFaulty());
+    }
 }
