fleet_view forgets routers that are gone

Cause: the digests of a router stayed in memory for good and were gone through at each sum, though stale. Change: what a router sent is removed a minute after its last digest.

--- a/modules/exchange/view/fleet_view.cpp
+++ b/modules/exchange/view/fleet_view.cpp
@@ -6,6 +6,13 @@
 
 namespace quetzal {
 
+namespace {
+
+/** Digests of routers that were silent this long are removed; they are stale long before. */
+constexpr absl::Duration maxSilence = absl::Minutes(1);
+
+} // namespace
+
 fleet_view::received_digests *fleet_view::entryFor(const std::string &vm, std::uint64_t incarnation,
                                                    std::uint64_t sequence)
 {
@@ -19,8 +26,16 @@
     return &known;
 }
 
+void fleet_view::forgetSilentRouters(absl::Time now)
+{
+    absl::erase_if(m_received, [&](const auto &entry) {
+        return now - entry.second.backlogsReceivedAt > maxSilence;
+    });
+}
+
 bool fleet_view::apply(const load_digest &digest, absl::Time now)
 {
+    forgetSilentRouters(now);
     received_digests *known = entryFor(digest.vm, digest.incarnation, digest.sequence);
     if (known == nullptr)
         return false;
--- a/modules/exchange/view/fleet_view.h
+++ b/modules/exchange/view/fleet_view.h
@@ -72,6 +72,8 @@
         absl::flat_hash_map<name_hash, workspace_digest> workspaces;
     };
 
+    /** Removes the digests of routers that are gone. */
+    void forgetSilentRouters(absl::Time now);
     /** Returns the entry of a digest's sender; null if the digest is out of order. */
     received_digests *entryFor(const std::string &vm, std::uint64_t incarnation,
                                std::uint64_t sequence);
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -125,6 +125,14 @@
         CHECK(view.loadOf(11, start).inFlight == 3);
     }
 
+    SECTION("what a router sent is forgotten a minute after its last digest")
+    {
+        const absl::Time later = start + absl::Minutes(2);
+        view.apply(digestOf("vm3", 1), later);
+        CHECK(view.apply(digestOf("vm1", 1), later));
+        CHECK(view.activePeerCount(later) == 2);
+    }
+
     SECTION("a router that sends no digests is ignored after a time")
     {
         const absl::Time later = start + digestLifetime(digestInterval(0)) + absl::Milliseconds(1);
