Work counts from its turn at a target

Callers saw: requests rejected for waiting work that was not there. Change: a request starts after the work of all routers that was waiting when it was sent; from then on it counts down to half, which stays until its answer begins. Overdue is what is late against that. Tests: placement, the earlier check that a backlog decreases is back, now for the request whose turn it is; new: work does not vanish while the target processes that of other routers.

--- a/apps/edge/peer_exchange.cpp
+++ b/apps/edge/peer_exchange.cpp
@@ -88,7 +88,7 @@
 peer_digest peer_exchange::nextDigest(absl::Time now)
 {
     if (m_schedule.next(m_peers.size(), now) == digest_kind::Backlog)
-        return m_node.makeBacklogDigest();
+        return m_node.makeBacklogDigest(now);
     std::vector<std::int64_t> lastChangeRevisions;
     if (m_lastChanges)
         lastChangeRevisions = m_lastChanges();
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -161,7 +161,7 @@
     const bool isLoadDue
         = m_options.digestInterval || m_digestSchedule.next(peerCount(), now) == digest_kind::Load;
     if (!isLoadDue)
-        return m_node.makeBacklogDigest();
+        return m_node.makeBacklogDigest(now);
     std::vector<std::int64_t> lastChangeRevisions;
     for (std::size_t prefix = 0; prefix < m_mirrors.size(); ++prefix) {
         lastChangeRevisions.push_back(m_mirrors[prefix]->follower().mirror().lastChangeRevision());
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -175,7 +175,7 @@
     const service_speed &speed = speedOf(service);
     const remote_load remote = m_fleet.loadOf(stableHash(state.record.id), now);
     target_candidate candidate {.id = state.record.id,
-                                .backlog = view.load.backlog() + remote.backlog,
+                                .backlog = view.load.backlog(now) + remote.backlog,
                                 .overdue = view.load.overdue(now),
                                 .failures = view.load.failures(now),
                                 .isInOwnDataCentre
@@ -289,7 +289,7 @@
                               .wasTargetIdle = chosen.backlog <= absl::ZeroDuration(),
                               .missingTokens = details.missingTokens,
                               .sentAt = now};
-    view.load.onSent(number, chosen.ownWork, now);
+    view.load.onSent(number, chosen.backlog, chosen.ownWork, now);
     if (view.cache) {
         view.cache->use(description.prompt);
         queuePromptForDigest(chosen.id, description);
@@ -336,7 +336,7 @@
     const auto view = m_views.find(target);
     if (open == m_openRequests.end() || view == m_views.end())
         return;
-    view->second.load.onAnswerBegan(number, now);
+    view->second.load.onAnswerBegan(number);
     m_directory.markAlive(target, open->second.sentAt);
     const auto speed = m_speeds.find(open->second.service);
     if (speed == m_speeds.end())
@@ -356,7 +356,7 @@
     if (view == m_views.end())
         return;
     target_load &load = view->second.load;
-    load.onEnded(number, now);
+    load.onEnded(number);
     switch (end) {
     case exchange_end::Answered:
     case exchange_end::Cancelled:
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -82,7 +82,7 @@
      */
     load_digest makeDigest(std::vector<std::int64_t> lastChangeRevisions, absl::Time now);
     /** Returns the digest of backlogs to send to the other routers between two load digests. */
-    backlog_digest makeBacklogDigest();
+    backlog_digest makeBacklogDigest(absl::Time now);
     /** Applies a digest that was received from another router. */
     void onDigest(const peer_digest &digest, absl::Time now);
     /** Returns the load and usage reported by the other routers. */
--- a/modules/forwarding/node/forwarding_node_digests.cpp
+++ b/modules/forwarding/node/forwarding_node_digests.cpp
@@ -36,7 +36,7 @@
         if (view.load.inFlight() == 0)
             continue;
         digest.targets.push_back({.target = stableHash(target),
-                                  .backlogMs = absl::ToInt64Milliseconds(view.load.backlog()),
+                                  .backlogMs = absl::ToInt64Milliseconds(view.load.backlog(now)),
                                   .inFlight = view.load.inFlight()});
     }
     digest.workspaces = m_accounts.digest(now);
@@ -47,13 +47,13 @@
     return digest;
 }
 
-backlog_digest forwarding_node::makeBacklogDigest()
+backlog_digest forwarding_node::makeBacklogDigest(absl::Time now)
 {
     backlog_digest digest {.vm = m_options.routers.self,
                            .sequence = ++m_digestSequence,
                            .incarnation = m_options.incarnation};
     for (const auto &[target, view] : m_views) {
-        const std::int64_t backlogMs = absl::ToInt64Milliseconds(view.load.backlog());
+        const std::int64_t backlogMs = absl::ToInt64Milliseconds(view.load.backlog(now));
         if (backlogMs > 0)
             digest.backlogs.push_back({.target = stableHash(target), .backlogMs = backlogMs});
     }
--- a/modules/placement/load/target_load.h
+++ b/modules/placement/load/target_load.h
@@ -32,22 +32,26 @@
 class target_load
 {
 public:
-    /** Adds a request that occupies the target for the given work before its answer begins. */
-    void onSent(std::uint64_t request, absl::Duration work, absl::Time now);
+    /**
+     * Adds a request that occupies the target for the given work before its answer begins. @param
+     * wait the backlog of all routers at the target, which it processes before
+     */
+    void onSent(std::uint64_t request, absl::Duration wait, absl::Duration work, absl::Time now);
     /** Removes the work of a request whose answer began. */
-    void onAnswerBegan(std::uint64_t request, absl::Time now);
+    void onAnswerBegan(std::uint64_t request);
     /** Removes a request whose exchange ended, with or without success. */
-    void onEnded(std::uint64_t request, absl::Time now);
+    void onEnded(std::uint64_t request);
     /** Records a failed attempt or a lost answer with its weight in the choice of a target. */
     void onFailure(double weight, absl::Time now);
     /** Stores the load that the target reported. */
     void onReport(const reported_load &report) { m_report = report; }
 
     /**
-     * Returns the total work of the requests of this router whose answers have not begun. It does
-     * not decrease while a request waits, since the target may process the work of other routers.
+     * Returns the remaining work of the requests of this router whose answers have not begun. The
+     * work of a request does not decrease before its turn, since the target processes the work of
+     * other routers too.
      */
-    absl::Duration backlog() const;
+    absl::Duration backlog(absl::Time now) const;
     /** Returns how long the answer to the oldest unanswered request is overdue. */
     absl::Duration overdue(absl::Time now) const;
     /** Returns the sum of the failure weights, each decaying exponentially. */
@@ -63,10 +67,11 @@
         absl::Duration work;
         absl::Time expectedAnswerAt;
         bool answerBegan = false;
+
+        absl::Duration remainingWork(absl::Time now) const;
     };
 
     absl::btree_map<std::uint64_t, sent_request> m_requests;
-    absl::Time m_busyUntil = absl::InfinitePast();
     reported_load m_report;
     double m_failures = 0.0;
     absl::Time m_failuresAt = absl::InfinitePast();
--- a/tests/emulator/fleet_scenario_test.cpp
+++ b/tests/emulator/fleet_scenario_test.cpp
@@ -61,10 +61,11 @@
 TEST_CASE("a workspace that requests a multiple of its share does not take that of others",
           "[emulator]")
 {
-    test_fleet fleet({.load = 2.5, .abandoningFraction = 0.0});
+    test_fleet fleet({.load = 3.5, .abandoningFraction = 0.0});
     fleet.run(absl::Seconds(20));
     const service_statistics &statistics = fleet.callers().statistics();
     checkInvariants(fleet);
+    CHECK(statistics.ofWorkspace(0).refused > 0);
     const double smallest = statistics.ofWorkspace(5).share();
     CHECK(smallest >= statistics.ofWorkspace(0).share());
 }
--- a/tests/placement/placement_test.cpp
+++ b/tests/placement/placement_test.cpp
@@ -37,22 +37,39 @@
 TEST_CASE("backlog of a target", "[placement]")
 {
     target_load load;
-    load.onSent(1, absl::Milliseconds(100), start);
-    load.onSent(2, absl::Milliseconds(50), start);
-    CHECK(load.backlog() == absl::Milliseconds(150));
+    load.onSent(1, absl::ZeroDuration(), absl::Milliseconds(100), start);
+    load.onSent(2, absl::Milliseconds(100), absl::Milliseconds(50), start);
+    CHECK(load.backlog(start) == absl::Milliseconds(150));
 
-    SECTION("counts a request in full until its answer begins")
+    SECTION("decreases with the request that is being processed, and ends when the answers begin")
     {
-        load.onAnswerBegan(1, start + absl::Milliseconds(40));
-        CHECK(load.backlog() == absl::Milliseconds(50));
-        load.onAnswerBegan(2, start + absl::Milliseconds(400));
-        CHECK(load.backlog() == absl::ZeroDuration());
+        CHECK(load.backlog(start + absl::Milliseconds(40)) == absl::Milliseconds(110));
+        load.onAnswerBegan(1);
+        CHECK(load.backlog(start + absl::Milliseconds(40)) == absl::Milliseconds(50));
+        load.onAnswerBegan(2);
+        CHECK(load.backlog(start + absl::Milliseconds(60)) == absl::ZeroDuration());
         CHECK(load.inFlight() == 2);
-        load.onEnded(1, start);
-        load.onEnded(2, start);
+        load.onEnded(1);
+        load.onEnded(2);
         CHECK(load.inFlight() == 0);
     }
 
+    SECTION(
+        "the work of a request does not vanish while the target processes that of other routers")
+    {
+        load.onSent(3, absl::Milliseconds(1000), absl::Milliseconds(80), start);
+        load.onAnswerBegan(1);
+        load.onAnswerBegan(2);
+        CHECK(load.backlog(start + absl::Milliseconds(900)) == absl::Milliseconds(80));
+        CHECK(load.overdue(start + absl::Milliseconds(900)) == absl::ZeroDuration());
+        CHECK(load.backlog(start + absl::Milliseconds(1020)) == absl::Milliseconds(60));
+
+        AND_WHEN("its answer is late, half of it stays until the answer begins")
+        {
+            CHECK(load.backlog(start + absl::Seconds(5)) == absl::Milliseconds(40));
+        }
+    }
+
     SECTION("answers that do not begin on time are overdue")
     {
         CHECK(load.overdue(start + absl::Milliseconds(90)) == absl::ZeroDuration());
