--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -182,6 +182,7 @@
 void caller_connection::startRequest()
 {
     if (m_input.empty() && hasCallerDisconnected()) {
+        m_context.metrics.onCallerGone();
         m_context.log.line("caller_gone_before_start")
             .number("ageMs", absl::ToInt64Milliseconds(edgeNow() - m_firstByteAt));
         close();
--- a/apps/edge/edge_metrics.cpp
+++ b/apps/edge/edge_metrics.cpp
@@ -22,6 +22,12 @@
 edge_metrics::edge_metrics()
     : m_connections(
         m_registry.counterFor("quetzal_edge_connections_total", "Connections taken from callers."))
+    , m_acceptFailures(m_registry.counterFor("quetzal_edge_accept_failures_total",
+                                             "Connections that could not be accepted."))
+    , m_callersGone(m_registry.counterFor("quetzal_edge_callers_gone_total",
+                                          "Callers that left before their request was started."))
+    , m_loopDelay(m_registry.histogramFor("quetzal_edge_loop_delay_seconds",
+                                          "How late the event loop runs its timers.", {}))
     , m_requests(m_registry.counterFor("quetzal_edge_requests_total", "Requests read whole."))
     , m_sends(m_registry.counterFor("quetzal_edge_sends_total", "Requests sent to targets."))
 {
--- a/apps/edge/edge_metrics.h
+++ b/apps/edge/edge_metrics.h
@@ -19,6 +19,12 @@
 
     /** Counts an accepted connection. */
     void onConnection() { m_connections.add(); }
+    /** Counts a failure to accept a connection. */
+    void onAcceptFailed() { m_acceptFailures.add(); }
+    /** Counts a caller that disconnected before its request was started. */
+    void onCallerGone() { m_callersGone.add(); }
+    /** Records how late the event loop ran a timer. */
+    void onLoopDelay(absl::Duration delay) { m_loopDelay.record(delay); }
     /** Counts a completely received request. */
     void onRequest() { m_requests.add(); }
     /** Counts an attempt. */
@@ -38,6 +44,9 @@
 private:
     metric_registry m_registry;
     counter &m_connections;
+    counter &m_acceptFailures;
+    counter &m_callersGone;
+    latency_histogram &m_loopDelay;
     counter &m_requests;
     counter &m_sends;
 };
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -18,6 +18,9 @@
 constexpr int ticksPerSettingsCheck = 15;
 constexpr std::uint16_t metricsPort = 9464;
 constexpr char metricsPath[] = "/metrics";
+/** Delays of the event loop that are logged, and how often at most. */
+constexpr absl::Duration loggedLoopDelay = absl::Milliseconds(100);
+constexpr absl::Duration loopDelayLogInterval = absl::Milliseconds(500);
 constexpr int statusUnavailable = 503;
 constexpr int statusOk = 200;
 /** Time during which new requests are still accepted after a shutdown has begun. */
@@ -90,17 +93,24 @@
               {.host = m_settings.callers.host, .port = m_settings.firstInternalPort})
     , m_feed(m_context, m_peers,
              {.store = m_settings.store, .vm = m_settings.vm, .host = m_settings.callers.host})
-    , m_callerListener(m_loop, m_settings.callers,
-                       [this](auto socket) { onCallerConnection(std::move(socket)); })
+    , m_loopMonitor(m_loop,
+                    [this](absl::Duration delay, absl::Time now) { onLoopDelay(delay, now); })
+    , m_callerListener(
+          m_loop, m_settings.callers,
+          [this](auto socket) { onCallerConnection(std::move(socket)); },
+          makeAcceptFailureCallback("callers"))
     , m_readinessListener(
           m_loop, m_settings.readiness,
-          makePageCallback([this](const std::string &path) { return statusPage(path); }))
+          makePageCallback([this](const std::string &path) { return statusPage(path); }),
+          makeAcceptFailureCallback("readiness"))
     , m_metricsListener(
           m_loop, {.host = m_settings.callers.host, .port = metricsPort},
-          makePageCallback([this](const std::string &path) { return statusPage(path); }))
+          makePageCallback([this](const std::string &path) { return statusPage(path); }),
+          makeAcceptFailureCallback("metrics"))
     , m_mirrorListener(
           m_loop, {.host = m_settings.callers.host, .port = m_settings.firstInternalPort},
-          makePageCallback([this](const std::string &path) { return m_feed.mirrorPage(path); }))
+          makePageCallback([this](const std::string &path) { return m_feed.mirrorPage(path); }),
+          makeAcceptFailureCallback("copies"))
 {
     std::signal(SIGPIPE, SIG_IGN);
 }
@@ -113,6 +123,7 @@
     waitForSignal();
     m_feed.start();
     m_peers.start();
+    m_loopMonitor.start();
     tick();
     m_loop.run();
     m_log.line("stopped").number("openConnections",
@@ -136,6 +147,28 @@
         closeLongestIdle();
 }
 
+listener::failure_callback edge_process::makeAcceptFailureCallback(std::string purpose)
+{
+    return [this, purpose = std::move(purpose)](const error_code &error) {
+        m_metrics.onAcceptFailed();
+        m_log.line("accept_failed")
+            .text("purpose", purpose)
+            .text("reason", error.message())
+            .number("open", static_cast<std::int64_t>(m_connections.size()));
+    };
+}
+
+void edge_process::onLoopDelay(absl::Duration delay, absl::Time now)
+{
+    m_metrics.onLoopDelay(delay);
+    if (delay < loggedLoopDelay || now < m_loopDelayLoggedAt + loopDelayLogInterval)
+        return;
+    m_loopDelayLoggedAt = now;
+    m_log.line("loop_delayed")
+        .number("delayMs", absl::ToInt64Milliseconds(delay))
+        .number("open", static_cast<std::int64_t>(m_connections.size()));
+}
+
 void edge_process::closeLongestIdle()
 {
     std::vector<std::shared_ptr<caller_connection>> idle;
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -3,6 +3,7 @@
 #include "apps/edge/caller_connection.h"
 #include "apps/edge/edge_context.h"
 #include "apps/edge/listener.h"
+#include "apps/edge/loop_monitor.h"
 #include "apps/edge/peer_exchange.h"
 #include "apps/edge/status_connection.h"
 #include "apps/edge/store_feed.h"
@@ -40,6 +41,9 @@
 
 private:
     void onCallerConnection(boost::asio::ip::tcp::socket socket);
+    /** Returns a callback that logs and counts failures to accept connections. */
+    listener::failure_callback makeAcceptFailureCallback(std::string purpose);
+    void onLoopDelay(absl::Duration delay, absl::Time now);
     void closeLongestIdle();
     void waitForSignal();
     void reload(std::string_view cause);
@@ -67,6 +71,8 @@
     boost::asio::steady_timer m_timer;
     peer_exchange m_peers;
     store_feed m_feed;
+    loop_monitor m_loopMonitor;
+    absl::Time m_loopDelayLoggedAt = absl::InfinitePast();
     listener m_callerListener;
     listener m_readinessListener;
     listener m_metricsListener;
--- a/apps/edge/listener.cpp
+++ b/apps/edge/listener.cpp
@@ -18,10 +18,11 @@
 } // namespace
 
 listener::listener(boost::asio::io_context &loop, const network_address &address,
-                   callback onConnection)
+                   callback onConnection, failure_callback onFailed)
     : m_acceptor(loop)
     , m_timer(loop)
     , m_onConnection(std::move(onConnection))
+    , m_onFailed(std::move(onFailed))
 {
     m_acceptor.open(boost::asio::ip::tcp::v4());
     m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
@@ -40,6 +41,7 @@
             accept();
             return;
         }
+        m_onFailed(error);
         m_timer.expires_after(acceptRetryDelay);
         m_timer.async_wait([this](const error_code &cancelled) {
             if (!cancelled && m_acceptor.is_open())
--- a/apps/edge/listener.h
+++ b/apps/edge/listener.h
@@ -15,9 +15,14 @@
 {
 public:
     using callback = std::function<void(boost::asio::ip::tcp::socket)>;
+    using failure_callback = std::function<void(const boost::system::error_code &)>;
 
-    /** Binds and starts accepting. Throws std::system_error if the address can't be bound. */
-    listener(boost::asio::io_context &loop, const network_address &address, callback onConnection);
+    /**
+     * Binds and starts accepting; onFailed is invoked for each connection that can't be accepted.
+     * Throws std::system_error if the address can't be bound.
+     */
+    listener(boost::asio::io_context &loop, const network_address &address, callback onConnection,
+             failure_callback onFailed);
 
     /** Stops accepting connections. */
     void stop();
@@ -28,6 +33,7 @@
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_timer;
     callback m_onConnection;
+    failure_callback m_onFailed;
 };
 
 } // namespace quetzal
--- a/apps/edge/request_log.cpp
+++ b/apps/edge/request_log.cpp
@@ -42,6 +42,7 @@
         .number("owedTokens", fairShareTokens(destination.share))
         .number("workMs", absl::ToInt64Milliseconds(destination.work))
         .number("missingTokens", destination.missingTokens)
+        .number("maxConnections", destination.maxConnections)
         .number("candidates", static_cast<std::int64_t>(destination.candidates))
         .number("routersHeard",
                 static_cast<std::int64_t>(m_context.node.fleet().activePeerCount(now)))
