--- a/bench/emulator/caller/caller_population.cpp
+++ b/bench/emulator/caller/caller_population.cpp
@@ -23,6 +23,9 @@
 constexpr int failedChecksBeforeRemoval = 2;
 /** Upper bound of the delay before a retry, as a fraction of the remaining time. */
 constexpr double maxRetryDelayFraction = 1.0 / 3.0;
+/** Callers leave a router that has not read their request after this time, or part of theirs. */
+constexpr absl::Duration maxUnreadTime = absl::Seconds(1);
+constexpr double maxUnreadFraction = 1.0 / 3.0;
 constexpr int statusOk = 200;
 constexpr int statusTooManyRequests = 429;
 constexpr int statusUnavailable = 503;
@@ -154,7 +157,8 @@
 std::optional<std::size_t> caller_population::pickVm(const caller_operation &operation)
 {
     const auto &single = m_plan.singleVmWorkspaces;
-    if (std::find(single.begin(), single.end(), operation.workspace) != single.end())
+    const bool isRetry = operation.attempts > 1;
+    if (!isRetry && std::find(single.begin(), single.end(), operation.workspace) != single.end())
         return operation.workspace % m_failedHealthChecks.size();
     std::vector<std::size_t> own;
     std::vector<std::size_t> all;
@@ -208,6 +212,8 @@
         current->router = receiver;
         current->number = receiver->receive(request, back);
     });
+    m_events.after(std::min(maxUnreadTime, remaining * maxUnreadFraction),
+                   [this, current] { leaveIfUnread(current); });
     if (operation->willAbandon) {
         const absl::Duration abandonAfter = kind.latencyObjective * m_random.unit();
         m_events.after(abandonAfter + oneWay, [this, current] { abandon(*current); });
@@ -225,6 +231,17 @@
     conclude(*attempt.operation, service_outcome::Abandoned, absl::ZeroDuration());
 }
 
+void caller_population::leaveIfUnread(const std::shared_ptr<caller_attempt> &attempt)
+{
+    if (attempt->isFinished || attempt->router == nullptr
+        || !attempt->router->isUnread(attempt->number))
+        return;
+    ++m_unreadAttempts;
+    finishAttempt(*attempt, false);
+    attempt->router->onCallerDisconnected(attempt->number);
+    retryOrConclude(attempt->operation, absl::ZeroDuration(), service_outcome::Failed);
+}
+
 void caller_population::onOverdue(caller_attempt &attempt)
 {
     if (attempt.isFinished)
--- a/bench/emulator/caller/caller_population.h
+++ b/bench/emulator/caller/caller_population.h
@@ -32,6 +32,8 @@
     absl::Time startedAt() const { return m_startedAt; }
     /** Returns the number of attempts in progress. */
     std::size_t openAttempts() const { return m_openAttempts; }
+    /** Returns the number of attempts that ended because their router did not read them in time. */
+    std::size_t unreadAttempts() const { return m_unreadAttempts; }
     /** Sets a factor for the load from now on. */
     void setLoadFactor(double factor) { m_loadFactor = factor; }
 
@@ -92,6 +94,8 @@
                   absl::Duration waited);
     /** Closes the connection early, on behalf of the caller. */
     void abandon(caller_attempt &attempt);
+    /** Retries elsewhere if the router has not read the request. */
+    void leaveIfUnread(const std::shared_ptr<caller_attempt> &attempt);
     /** Ends an attempt whose deadline has passed without an answer. */
     void onOverdue(caller_attempt &attempt);
 
@@ -108,6 +112,7 @@
     double m_loadFactor = 1.0;
     std::uint64_t m_lastId = 0;
     std::size_t m_openAttempts = 0;
+    std::size_t m_unreadAttempts = 0;
 };
 
 } // namespace quetzal::bench
--- a/bench/emulator/fleet/emulated_fleet.cpp
+++ b/bench/emulator/fleet/emulated_fleet.cpp
@@ -140,7 +140,8 @@
                  .weights = m_plan.weights,
                  .limits = m_plan.backlog,
                  .incarnation = machine.incarnation},
-        .digestInterval = m_plan.digestInterval};
+        .digestInterval = m_plan.digestInterval,
+        .processor = m_plan.processor};
     machine.router = std::make_unique<emulated_router>(*this, m_store, m_documents, options);
     machine.router->setCopyFromPeer(
         [this, name = machine.name](std::size_t prefix, std::int64_t revision) {
--- a/bench/emulator/fleet/fleet_plan.h
+++ b/bench/emulator/fleet/fleet_plan.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "emulator/router/emulated_processor.h"
 #include "emulator/target/target_parameters.h"
 #include "forwarding/node/forwarding_types.h"
 
@@ -49,6 +50,8 @@
     std::optional<absl::Duration> digestInterval;
     /** Fraction of the digests that are lost. */
     double lostDigestFraction = 0.0;
+    /** The processor time that the events of each router take; nothing for none. */
+    std::optional<processor_parameters> processor;
     /** True if routers exchange digests. */
     bool hasExchange = true;
     std::uint64_t seed = 1;
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -15,6 +15,8 @@
 constexpr absl::Duration unacknowledgedTimeout = absl::Milliseconds(1500);
 /** Time after the start of a shutdown during which new requests are still accepted. */
 constexpr absl::Duration acceptGracePeriod = absl::Milliseconds(2800);
+/** Connections that one turn of the event loop accepts. */
+constexpr int acceptsPerTurn = 1;
 
 } // namespace
 
@@ -26,6 +28,9 @@
     , m_options(std::move(options))
     , m_node(m_options.node)
 {
+    if (m_options.processor)
+        m_processor
+            = std::make_unique<emulated_processor>(m_network.events(), m_options.processor->share);
     std::size_t index = 0;
     for (const char *prefix : {configurationPrefix, targetPrefix, memberPrefix}) {
         m_mirrors.push_back(std::make_unique<emulated_mirror>(m_network.events(), m_store, vm(),
@@ -183,24 +188,78 @@
     record.lifecycle
         = std::make_unique<request_lifecycle>(m_node, number, request.description, arrivedAt);
     m_requests.emplace(number, std::move(record));
-    runWhenActive([this, number] {
-        const auto found = m_requests.find(number);
-        if (found == m_requests.end())
-            return;
-        request_lifecycle &lifecycle = *found->second.lifecycle;
-        const absl::Time now = m_network.events().now();
-        const request_actions actions = lifecycle.start(m_isRejectingRequests, now);
-        if (lifecycle.admitted() && !lifecycle.isFinished())
-            m_network.events().after(lifecycle.deadline() - now, [this, number] {
-                runWhenActive([this, number] {
-                    if (const auto run = m_requests.find(number); run != m_requests.end())
-                        perform(number,
-                                run->second.lifecycle->onDeadline(m_network.events().now()));
-                });
+    if (!m_processor) {
+        runWhenActive([this, number] { readRequest(number); });
+        return number;
+    }
+    m_acceptQueue.push_back(number);
+    acceptConnections();
+    return number;
+}
+
+void emulated_router::acceptConnections()
+{
+    if (m_acceptQueue.empty() || std::exchange(m_isAccepting, true))
+        return;
+    m_processor->post([this] {
+        absl::Duration used;
+        for (int turn = 0; turn < acceptsPerTurn && !m_acceptQueue.empty(); ++turn) {
+            const std::uint64_t number = m_acceptQueue.front();
+            m_acceptQueue.pop_front();
+            used += m_options.processor->acceptedConnection;
+            m_processor->post([this, number] { return readRequest(number); });
+        }
+        m_isAccepting = false;
+        acceptConnections();
+        return used;
+    });
+}
+
+absl::Duration emulated_router::readRequest(std::uint64_t number)
+{
+    const auto found = m_requests.find(number);
+    if (!m_isUp || found == m_requests.end())
+        return absl::ZeroDuration();
+    found->second.isRead = true;
+    request_lifecycle &lifecycle = *found->second.lifecycle;
+    const absl::Time now = m_network.events().now();
+    const request_actions actions = lifecycle.start(m_isRejectingRequests, now);
+    const bool isSent = lifecycle.admitted() && !lifecycle.isFinished();
+    if (isSent)
+        m_network.events().after(lifecycle.deadline() - now, [this, number] {
+            runWhenActive([this, number] {
+                if (const auto run = m_requests.find(number); run != m_requests.end())
+                    perform(number, run->second.lifecycle->onDeadline(m_network.events().now()));
             });
-        perform(number, actions);
+        });
+    perform(number, actions);
+    if (!m_options.processor)
+        return absl::ZeroDuration();
+    return isSent ? m_options.processor->sentRequest : m_options.processor->rejectedRequest;
+}
+
+void emulated_router::runEvent(absl::Duration processorTime, std::function<void()> event)
+{
+    if (!m_processor) {
+        runWhenActive(std::move(event));
+        return;
+    }
+    m_processor->post([this, processorTime, event = std::move(event)] {
+        runWhenActive(event);
+        return processorTime;
     });
-    return number;
+}
+
+int emulated_router::openConnections(const network_address &address) const
+{
+    const auto found = m_openConnections.find(address);
+    return found == m_openConnections.end() ? 0 : found->second;
+}
+
+bool emulated_router::isUnread(std::uint64_t number) const
+{
+    const auto found = m_requests.find(number);
+    return m_processor && found != m_requests.end() && !found->second.isRead;
 }
 
 void emulated_router::onCallerDisconnected(std::uint64_t number)
@@ -270,7 +329,8 @@
     m_network.sendToTarget(
         vm(), address, record.exchange, request,
         [this, number, exchange = record.exchange](const exchange_reply &reply) {
-            runWhenActive([this, number, exchange, reply] { onReply(number, exchange, reply); });
+            runEvent(m_options.processor.value_or(processor_parameters {}).relayedPart,
+                     [this, number, exchange, reply] { onReply(number, exchange, reply); });
         });
 }
 
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "emulator/router/caller_messages.h"
+#include "emulator/router/emulated_processor.h"
 #include "emulator/router/fleet_network.h"
 #include "emulator/store/emulated_mirror.h"
 #include "exchange/interval/digest_interval.h"
@@ -13,6 +14,7 @@
 #include <absl/time/time.h>
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -43,6 +45,8 @@
     forwarding_options node;
     /** The interval between digests; nothing for the interval that the number of peers requires. */
     std::optional<absl::Duration> digestInterval;
+    /** The processor time that events take; nothing for none. */
+    std::optional<processor_parameters> processor;
 };
 
 /** Emulates a router process: performs the decisions of the production classes. */
@@ -68,6 +72,11 @@
     /** Returns the number of requests in progress. */
     std::size_t openRequests() const { return m_requests.size(); }
 
+    /** Returns the number of connections that are open to a target. */
+    int openConnections(const network_address &address) const;
+    /** True if the connection of a request was not accepted, or the request not read yet. */
+    bool isUnread(std::uint64_t number) const;
+
     /** Receives a caller's request; returns its number for onCallerDisconnected(). */
     std::uint64_t receive(const caller_request &request, caller_sink sink);
     /** Must be called when the caller of a request disconnected. */
@@ -104,6 +113,7 @@
         std::uint64_t exchange = 0;
         network_address address;
         bool isNewConnection = false;
+        bool isRead = false;
         int answerStatus = 0;
     };
 
@@ -114,6 +124,12 @@
     void sendDigests();
     peer_digest nextDigest(absl::Time now);
     std::size_t peerCount() const { return m_node.routers().members.size() - 1; }
+    /** Accepts waiting connections, as many as one turn of the event loop does. */
+    void acceptConnections();
+    /** Reads a request and decides on it; returns the processor time that this took. */
+    absl::Duration readRequest(std::uint64_t number);
+    /** Runs an event after those before it if events take processor time, otherwise now. */
+    void runEvent(absl::Duration processorTime, std::function<void()> event);
     void perform(std::uint64_t number, const request_actions &actions);
     void send(std::uint64_t number, const send_request &action);
     void onReply(std::uint64_t number, std::uint64_t exchange, const exchange_reply &reply);
@@ -130,6 +146,10 @@
     std::vector<std::unique_ptr<emulated_mirror>> m_mirrors;
     member_table m_members;
     std::function<std::optional<listing_page>(std::size_t, std::int64_t)> m_copyFromPeer;
+    std::unique_ptr<emulated_processor> m_processor;
+    /** The requests on connections that are not accepted yet, in the order of arrival. */
+    std::deque<std::uint64_t> m_acceptQueue;
+    bool m_isAccepting = false;
     absl::btree_map<std::uint64_t, request_record> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
     absl::btree_map<network_address, int> m_idleConnections;
