Connections to a target are divided by need

Cause: a target's connections were divided evenly between the VMs, 760 between 72, and callers are not. A busy VM had ten streams at each target that held its prompts, tried four targets in turn and refused, though nearly all connections of those targets were unused.

Change: half of the connections is guaranteed to the routers evenly, the other half is taken by need: a third of what the digests' counts of open requests leave, so that three routers may take it before they hear of each other. A target without a connection left for this router is no candidate, in place of four attempts that each fail; with none left the request is rejected at once.

--- a/modules/exchange/view/fleet_view.cpp
+++ b/modules/exchange/view/fleet_view.cpp
@@ -96,6 +96,17 @@
     return found == m_sums.end() ? remote_load {} : found->second;
 }
 
+int fleet_view::inFlightBeyond(name_hash target, int perRouter, absl::Time now) const
+{
+    int sum = 0;
+    for (const auto &[vm, known] : m_received) {
+        const auto found = known.inFlight.find(target);
+        if (found != known.inFlight.end() && isLoadCurrent(known, now))
+            sum += std::max(found->second - perRouter, 0);
+    }
+    return sum;
+}
+
 bool fleet_view::isLoadCurrent(const received_digests &known, absl::Time now) const
 {
     return now - known.loadReceivedAt <= digestLifetime(digestInterval(m_peers));
--- a/modules/exchange/view/fleet_view.h
+++ b/modules/exchange/view/fleet_view.h
@@ -47,6 +47,8 @@
      * processes the work of all routers, not only of one.
      */
     remote_load loadOf(name_hash target, absl::Time now) const;
+    /** Returns the sum of the requests beyond a number that each other router has at a target. */
+    int inFlightBeyond(name_hash target, int perRouter, absl::Time now) const;
     /** Returns the tokens that a workspace requested and received at the other routers. */
     workspace_usage usageOf(name_hash workspace, absl::Time now) const;
     /** Returns the workspaces that the other routers reported. */
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -220,6 +220,10 @@
         if (excluded.contains(id)
             || (isCold && !m_coldLimiter.maySend(id, permits, m_options.routers, now)))
             continue;
+        if (isConnectionShareUsed(id, service, now)) {
+            candidateSet.hasBusyTarget = true;
+            continue;
+        }
         candidate_details details {.state = state};
         candidateSet.candidates.push_back(candidateFor(*state, service, description, details, now));
         candidateSet.candidates.back().affinity = rendezvousWeight(key, id);
@@ -246,16 +250,24 @@
         return noTarget;
     const candidate_set candidateSet
         = collectCandidates(request, *service, description, excluded, now);
+    const bool isFirstAttempt = excluded.empty();
+    const bool isModelRequest = !description.prompt.empty();
     const auto best = chooseTarget(candidateSet.candidates, m_options.weights);
-    if (!best)
+    if (!best && !candidateSet.hasBusyTarget)
         return noTarget;
+    if (!best) {
+        if (isFirstAttempt && isModelRequest)
+            m_accounts.onDecided(request.workspace, costInTokens(description), false, now);
+        return rejection {.status = statusUnavailable,
+                          .code = result_code::RouterQueueFull,
+                          .retryAfter = minRetryAfter};
+    }
     const target_candidate &chosen = candidateSet.candidates[*best];
     const share_state share = m_accounts.shareOf(request.workspace, m_fleet, now);
     const absl::Duration limit = backlogLimit(
         share, shareDraw(description.id), request.matchedRoute->latencyObjective, m_options.limits);
     const bool isAccepted = chosen.backlog <= limit;
-    const bool isFirstAttempt = excluded.empty();
-    if (isFirstAttempt && !description.prompt.empty())
+    if (isFirstAttempt && isModelRequest)
         m_accounts.onDecided(request.workspace, costInTokens(description), isAccepted, now);
     if (!isAccepted)
         return rejection {.status = statusUnavailable,
@@ -299,7 +311,7 @@
     return {.target = chosen.id,
             .address = state.record.address,
             .dataCentre = state.record.dataCentre,
-            .maxConnections = connectionShare(service),
+            .maxConnections = maxConnectionsTo(chosen.id, service, now),
             .isCold = isCold,
             .backlog = chosen.backlog,
             .peerBacklog = details.peerBacklog,
@@ -307,13 +319,31 @@
             .missingTokens = details.missingTokens};
 }
 
-int forwarding_node::connectionShare(const service_description &service) const
+connection_bounds forwarding_node::connectionBounds(const service_description &service) const
+{
+    return {.maxConnections = service.maxConnections, .routers = m_options.routers.members.size()};
+}
+
+int forwarding_node::maxConnectionsTo(const std::string &target, const service_description &service,
+                                      absl::Time now) const
 {
     if (service.maxConnections == 0)
         return 0;
-    const auto routerCount
-        = static_cast<int>(std::max<std::size_t>(m_options.routers.members.size(), 1));
-    return std::max(service.maxConnections / routerCount, 1);
+    const connection_bounds bounds = connectionBounds(service);
+    const int usedBeyond
+        = m_fleet.inFlightBeyond(stableHash(target), guaranteedConnections(bounds), now);
+    return connectionShare(bounds, usedBeyond);
+}
+
+bool forwarding_node::isConnectionShareUsed(const std::string &target,
+                                            const service_description &service,
+                                            absl::Time now) const
+{
+    const auto view = m_views.find(target);
+    const int inFlight = view == m_views.end() ? 0 : view->second.load.inFlight();
+    if (service.maxConnections == 0 || inFlight < guaranteedConnections(connectionBounds(service)))
+        return false;
+    return inFlight >= maxConnectionsTo(target, service, now);
 }
 
 void forwarding_node::dropViewIfRemoved(const std::string &target)
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "budgets/cold/cold_start_limiter.h"
+#include "budgets/connection/connection_share.h"
 #include "budgets/retry/shared_retry_budget.h"
 #include "directory/target/target_directory.h"
 #include "exchange/view/fleet_view.h"
@@ -117,6 +118,8 @@
     {
         std::vector<target_candidate> candidates;
         std::vector<candidate_details> details;
+        /** True if a target was left out because this router has no connection to it left. */
+        bool hasBusyTarget = false;
     };
 
     /** Returns the targets that may receive the request now. */
@@ -131,11 +134,13 @@
                               const request_description &description,
                               const target_candidate &chosen, const candidate_details &details,
                               absl::Time now);
-    /**
-     * Returns how many connections this router may have open to one target of the service; 0 for no
-     * limit.
-     */
-    int connectionShare(const service_description &service) const;
+    connection_bounds connectionBounds(const service_description &service) const;
+    /** Returns how many connections this router may have open to a target; 0 for no limit. */
+    int maxConnectionsTo(const std::string &target, const service_description &service,
+                         absl::Time now) const;
+    /** True if this router has requests on all connections that it may have to the target. */
+    bool isConnectionShareUsed(const std::string &target, const service_description &service,
+                               absl::Time now) const;
     /** Drops the view of a target that is no longer listed and has no open requests. */
     void dropViewIfRemoved(const std::string &target);
     target_view &viewOf(const std::string &target, const service_description &service);
--- a/tests/budgets/budgets_test.cpp
+++ b/tests/budgets/budgets_test.cpp
@@ -95,3 +95,38 @@
     CHECK(counter.whenBelow(2, start + absl::Milliseconds(500)) == start + absl::Seconds(1));
     CHECK(counter.whenBelow(0, start) == absl::InfiniteFuture());
 }
+
+TEST_CASE("connections to a target are divided by need", "[budgets]")
+{
+    SECTION(
+        "a router may have a third of what the others leave, and none more than the target takes")
+    {
+        const connection_bounds bounds {.maxConnections = 720, .routers = 72};
+        CHECK(guaranteedConnections(bounds) == 5);
+        CHECK(connectionShare(bounds, 0) == 5 + 360 / 3);
+        CHECK(connectionShare(bounds, 120) == 5 + 240 / 3);
+        CHECK(connectionShare(bounds, 1000) == 5);
+        CHECK(connectionShare({.maxConnections = 96, .routers = 1}, 0) == 96);
+    }
+
+    SECTION("routers that need more one after the other stay below the limit together")
+    {
+        rc::check("for any number of routers and connections", [] {
+            const int routers = *rc::gen::inRange(2, 100);
+            const int maxConnections = *rc::gen::inRange(2 * routers, 40 * routers);
+            const connection_bounds bounds {.maxConnections = maxConnections,
+                                            .routers = static_cast<std::size_t>(routers)};
+            int usedBeyond = 0;
+            for (int router = 0; router < routers; ++router)
+                usedBeyond += connectionShare(bounds, usedBeyond) - guaranteedConnections(bounds);
+            RC_ASSERT(usedBeyond + routers * guaranteedConnections(bounds) <= maxConnections);
+        });
+    }
+
+    SECTION("three routers that take what is free at the same time stay below the limit")
+    {
+        const connection_bounds bounds {.maxConnections = 720, .routers = 72};
+        const int borrowed = connectionShare(bounds, 0) - guaranteedConnections(bounds);
+        CHECK(72 * guaranteedConnections(bounds) + 3 * borrowed <= 720);
+    }
+}
