What no target ran does not count as served

Cause: tokens count as served when a target is chosen.

Change: a request that ends as not executed after a target was chosen is taken back from the account. What may have run stays.

Result: the new test of request_lifecycle failed before in two of its three sections (500 tokens served where none was); it passes now.

--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -52,12 +52,12 @@
         reject({.status = statusUnavailable,
                 .code = result_code::RouterStopping,
                 .retryAfter = retryAfterStopping},
-               actions);
+               actions, now);
         return actions;
     }
     auto admission = m_node.admit(m_description, m_arrivedAt);
     if (const auto *reason = std::get_if<rejection>(&admission)) {
-        reject(*reason, actions);
+        reject(*reason, actions, now);
         return actions;
     }
     m_admitted = std::get<admitted_request>(std::move(admission));
@@ -69,7 +69,7 @@
 void request_lifecycle::place(request_actions &actions, absl::Time now)
 {
     if (now >= m_admitted->deadline) {
-        fail(true, actions);
+        fail(true, actions, now);
         return;
     }
     auto decision = m_node.place(m_number, *m_admitted, m_description, m_excluded, now);
@@ -77,9 +77,9 @@
     if (reason == nullptr)
         send(std::get<placement>(decision), actions, now);
     else if (m_history.isNotExecuted())
-        reject(*reason, actions);
+        reject(*reason, actions, now);
     else
-        fail(false, actions);
+        fail(false, actions, now);
 }
 
 void request_lifecycle::send(const placement &destination, request_actions &actions, absl::Time now)
@@ -146,7 +146,7 @@
     if (mayPlace)
         place(actions, now);
     else
-        fail(false, actions);
+        fail(false, actions, now);
 }
 
 head_decision request_lifecycle::onAnswerHead(const answer_description &answer, absl::Time now)
@@ -246,7 +246,7 @@
     if (m_relay == relay::StreamPending)
         beginStream(actions);
     if (m_relay != relay::Streaming) {
-        relayCompleteAnswer(actions);
+        relayCompleteAnswer(actions, now);
         return actions;
     }
     if (std::string rest = m_events.takePartialEvent(); !rest.empty())
@@ -271,13 +271,13 @@
     if (willRetry)
         place(actions, now);
     else
-        relayCompleteAnswer(actions);
+        relayCompleteAnswer(actions, now);
 }
 
-void request_lifecycle::relayCompleteAnswer(request_actions &actions)
+void request_lifecycle::relayCompleteAnswer(request_actions &actions, absl::Time now)
 {
     if (m_isHeadRelayed || impliesNotExecuted(m_answer.status)) {
-        fail(false, actions);
+        fail(false, actions, now);
         return;
     }
     finish({.outcome = "answered", .status = m_answer.status}, actions);
@@ -292,7 +292,7 @@
         release_target {.target = m_target, .isCancelled = end == exchange_end::Cancelled});
 }
 
-void request_lifecycle::fail(bool timedOut, request_actions &actions)
+void request_lifecycle::fail(bool timedOut, request_actions &actions, absl::Time now)
 {
     rejection reason {.status = finalStatus(m_history, timedOut),
                       .code = result_code::OutcomeUnknown};
@@ -302,16 +302,18 @@
     } else if (timedOut) {
         reason.code = result_code::DeadlineDuringAnswer;
     }
-    reject(reason, actions);
+    reject(reason, actions, now);
 }
 
-void request_lifecycle::reject(const rejection &reason, request_actions &actions)
+void request_lifecycle::reject(const rejection &reason, request_actions &actions, absl::Time now)
 {
     if (m_isHeadRelayed) {
         abort("stream_broken", actions);
         return;
     }
     const bool isNotExecuted = m_history.isNotExecuted();
+    if (isNotExecuted && !m_target.empty())
+        m_node.onNotServed(*m_admitted, m_description, now);
     finish({.outcome = isNotExecuted ? "rejected" : "failed",
             .status = reason.status,
             .code = reason.code,
@@ -339,7 +341,7 @@
     if (m_isHeadRelayed)
         abort("timed_out", actions);
     else
-        fail(true, actions);
+        fail(true, actions, now);
     return actions;
 }
 
--- a/modules/forwarding/lifecycle/request_lifecycle.h
+++ b/modules/forwarding/lifecycle/request_lifecycle.h
@@ -89,15 +89,15 @@
     void release(exchange_end end, request_actions &actions, absl::Time now);
     /** Handles a complete answer with a server error: retries, or relays it. */
     void onServerError(request_actions &actions, absl::Time now);
-    void relayCompleteAnswer(request_actions &actions);
+    void relayCompleteAnswer(request_actions &actions, absl::Time now);
     /** Ends the exchange with a target whose answer cannot be buffered any longer. */
     request_actions abandonAnswer(absl::Time now);
     void beginStream(request_actions &actions);
     void recordAnswerBegan(request_actions &actions, absl::Time now);
     /** Ends the request without an answer from a target. */
-    void fail(bool timedOut, request_actions &actions);
+    void fail(bool timedOut, request_actions &actions, absl::Time now);
     /** Ends the request with the router's own answer, or aborts it after the head was relayed. */
-    void reject(const rejection &reason, request_actions &actions);
+    void reject(const rejection &reason, request_actions &actions, absl::Time now);
     /** Ends the request by aborting the caller's connection, after the head was relayed. */
     void abort(std::string_view outcome, request_actions &actions);
     void finish(record_request_ended end, request_actions &actions);
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -355,6 +355,13 @@
     m_views.erase(view);
 }
 
+void forwarding_node::onNotServed(const admitted_request &request,
+                                  const request_description &description, absl::Time now)
+{
+    if (!description.prompt.empty())
+        m_accounts.onNotServed(request.workspace, costInTokens(description), now);
+}
+
 bool forwarding_node::trySpendRetry(const std::string &service, absl::Time now)
 {
     return m_retryBudget.trySpend(service, m_options.routers.members.size(), now);
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -67,6 +67,9 @@
                                              const request_description &description,
                                              const absl::flat_hash_set<std::string> &excluded,
                                              absl::Time now);
+    /** Must be called when a request that place() accepted was not executed by any target. */
+    void onNotServed(const admitted_request &request, const request_description &description,
+                     absl::Time now);
     /** Takes one retry from the budget of the service; false if the budget is exhausted. */
     bool trySpendRetry(const std::string &service, absl::Time now);
 
--- a/modules/forwarding/node/workspace_accounts.cpp
+++ b/modules/forwarding/node/workspace_accounts.cpp
@@ -23,6 +23,12 @@
         entry.served.add(tokens, now);
 }
 
+void workspace_accounts::onNotServed(const std::string &workspace, std::int64_t tokens,
+                                     absl::Time now)
+{
+    m_accounts[stableHash(workspace)].served.add(-tokens, now);
+}
+
 workspace_usage workspace_accounts::usageOf(name_hash workspace, const fleet_view &fleet,
                                             absl::Time now) const
 {
--- a/modules/forwarding/node/workspace_accounts.h
+++ b/modules/forwarding/node/workspace_accounts.h
@@ -26,6 +26,8 @@
     /** Counts the tokens of a request that was accepted, or rejected for overload. */
     void onDecided(const std::string &workspace, std::int64_t tokens, bool isAccepted,
                    absl::Time now);
+    /** Takes back the tokens of a request that was accepted, but not executed by any target. */
+    void onNotServed(const std::string &workspace, std::int64_t tokens, absl::Time now);
 
     /** Returns the usage and the fair share of a workspace over all routers. */
     share_state shareOf(const std::string &workspace, const fleet_view &fleet, absl::Time now);
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -296,3 +296,44 @@
     CHECK(find<answer_locally>(actions)->reason.retryAfter.has_value());
     CHECK(request.isFinished());
 }
+
+TEST_CASE("a request that no target ran does not count as served to its workspace", "[life]")
+{
+    router testRouter;
+    request_lifecycle request(testRouter.node, 1,
+                              {.id = "r",
+                               .method = "POST",
+                               .host = "h",
+                               .path = "/once/x",
+                               .prompt = {{.id = 7, .tokens = 400}, {.id = 8, .tokens = 100}}},
+                              start);
+    const auto served = [&] {
+        return testRouter.node.makeDigest({}, start).workspaces.front().servedTokens;
+    };
+    REQUIRE(find<send_request>(request.start(false, start)) != nullptr);
+    REQUIRE(served() == 500);
+
+    SECTION("because no connection was left")
+    {
+        while (!request.isFinished())
+            request.onNoConnection(start);
+        CHECK(served() == 0);
+        CHECK(testRouter.node.makeDigest({}, start).workspaces.front().requestedTokens == 500);
+    }
+
+    SECTION("because all targets refused it")
+    {
+        while (!request.isFinished()) {
+            request.onAnswerHead(refusal, start);
+            request.onAnswerComplete(start);
+        }
+        CHECK(served() == 0);
+    }
+
+    SECTION("unless its answer was lost, so that it may have run")
+    {
+        request.onSendFailed(lost, start);
+        REQUIRE(request.isFinished());
+        CHECK(served() == 500);
+    }
+}
