A VM with more to do than its processor can takes its connections and says no

Cause: the listener accepted one connection a turn of the event loop, so that the rate of accepting followed the work of the other connections: at 0.12 cores some 100 a second where 300 came. The queue of 1,024 was served in order of arrival; callers leave after a second, so that every connection taken was dead, and their repeats on new connections kept it full. An overload that feeds itself (a queue in order of arrival, longer than its clients wait).

Change: a turn of the loop accepts up to 256 connections. Since the work that then arrives may be more than the processor can do, overload_detector turns a rising fraction of new requests away at once, from 50 to 200 ms of delay, with a Retry-After of 100 ms and the new code 2010: another router can answer.

--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -161,6 +161,7 @@
 void edge_process::onLoopDelay(absl::Duration delay, absl::Time now)
 {
     m_metrics.onLoopDelay(delay);
+    m_node.onLoopDelay(delay, now + loop_monitor::interval);
     if (delay < loggedLoopDelay || now < m_loopDelayLoggedAt + loopDelayLogInterval)
         return;
     m_loopDelayLoggedAt = now;
--- a/apps/edge/listener.cpp
+++ b/apps/edge/listener.cpp
@@ -1,5 +1,6 @@
 #include "apps/edge/listener.h"
 
+#include "admission/processor/overload_detector.h"
 #include "apps/edge/socket_options.h"
 
 #include <chrono>
@@ -28,6 +29,7 @@
     m_acceptor.set_option(boost::asio::socket_base::reuse_address(true));
     m_acceptor.bind(endpointOf(address));
     m_acceptor.listen(backlog);
+    m_acceptor.non_blocking(true);
     accept();
 }
 
@@ -36,17 +38,38 @@
     m_acceptor.async_accept([this](const error_code &error, boost::asio::ip::tcp::socket socket) {
         if (!m_acceptor.is_open())
             return;
-        if (!error) {
-            m_onConnection(std::move(socket));
-            accept();
+        if (error) {
+            acceptLater(error);
+            return;
+        }
+        m_onConnection(std::move(socket));
+        acceptWaiting();
+    });
+}
+
+void listener::acceptWaiting()
+{
+    for (int accepted = 1; accepted < overload_detector::maxAcceptsPerTurn; ++accepted) {
+        error_code error;
+        boost::asio::ip::tcp::socket socket = m_acceptor.accept(error);
+        if (error == boost::asio::error::would_block)
+            break;
+        if (error) {
+            acceptLater(error);
             return;
         }
-        m_onFailed(error);
-        m_timer.expires_after(acceptRetryDelay);
-        m_timer.async_wait([this](const error_code &cancelled) {
-            if (!cancelled && m_acceptor.is_open())
-                accept();
-        });
+        m_onConnection(std::move(socket));
+    }
+    accept();
+}
+
+void listener::acceptLater(const error_code &cause)
+{
+    m_onFailed(cause);
+    m_timer.expires_after(acceptRetryDelay);
+    m_timer.async_wait([this](const error_code &cancelled) {
+        if (!cancelled && m_acceptor.is_open())
+            accept();
     });
 }
 
--- a/apps/edge/listener.h
+++ b/apps/edge/listener.h
@@ -28,7 +28,11 @@
     void stop();
 
 private:
+    /** Waits for the next connection. */
     void accept();
+    /** Accepts the connections that are waiting, at most as many as one turn may. */
+    void acceptWaiting();
+    void acceptLater(const boost::system::error_code &cause);
 
     boost::asio::ip::tcp::acceptor m_acceptor;
     boost::asio::steady_timer m_timer;
--- a/apps/edge/loop_monitor.cpp
+++ b/apps/edge/loop_monitor.cpp
@@ -7,12 +7,6 @@
 
 namespace quetzal {
 
-namespace {
-
-constexpr absl::Duration measuringInterval = absl::Milliseconds(50);
-
-} // namespace
-
 loop_monitor::loop_monitor(boost::asio::io_context &loop, callback onMeasured)
     : m_timer(loop)
     , m_onMeasured(std::move(onMeasured))
@@ -21,7 +15,7 @@
 
 void loop_monitor::schedule()
 {
-    m_timer.expires_after(absl::ToChronoNanoseconds(measuringInterval));
+    m_timer.expires_after(absl::ToChronoNanoseconds(interval));
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (error)
             return;
--- a/apps/edge/loop_monitor.h
+++ b/apps/edge/loop_monitor.h
@@ -15,7 +15,9 @@
 class loop_monitor
 {
 public:
-    /** Receives each measured delay and the present time. */
+    static constexpr absl::Duration interval = absl::Milliseconds(50);
+
+    /** Receives each measured delay and the present time; the next one is due an interval later. */
     using callback = std::function<void(absl::Duration delay, absl::Time now)>;
 
     loop_monitor(boost::asio::io_context &loop, callback onMeasured);
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -15,8 +15,7 @@
 constexpr absl::Duration unacknowledgedTimeout = absl::Milliseconds(1500);
 /** Time after the start of a shutdown during which new requests are still accepted. */
 constexpr absl::Duration acceptGracePeriod = absl::Milliseconds(2800);
-/** Connections that one turn of the event loop accepts. */
-constexpr int acceptsPerTurn = 1;
+constexpr absl::Duration loopDelayInterval = absl::Milliseconds(50);
 
 } // namespace
 
@@ -75,6 +74,22 @@
         mirror->start();
     m_store.write(memberPrefix + vm(), vm());
     sendDigests();
+    if (m_processor)
+        measureLoopDelay();
+}
+
+void emulated_router::measureLoopDelay()
+{
+    m_network.events().after(loopDelayInterval, [this] {
+        if (!m_isUp)
+            return;
+        m_processor->post([this, dueAt = m_network.events().now()] {
+            const absl::Time now = m_network.events().now();
+            m_node.onLoopDelay(now - dueAt, now + loopDelayInterval);
+            measureLoopDelay();
+            return absl::ZeroDuration();
+        });
+    });
 }
 
 bool emulated_router::isReady() const
@@ -203,7 +218,8 @@
         return;
     m_processor->post([this] {
         absl::Duration used;
-        for (int turn = 0; turn < acceptsPerTurn && !m_acceptQueue.empty(); ++turn) {
+        for (int turn = 0; turn < overload_detector::maxAcceptsPerTurn && !m_acceptQueue.empty();
+             ++turn) {
             const std::uint64_t number = m_acceptQueue.front();
             m_acceptQueue.pop_front();
             used += m_options.processor->acceptedConnection;
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -124,6 +124,8 @@
     void sendDigests();
     peer_digest nextDigest(absl::Time now);
     std::size_t peerCount() const { return m_node.routers().members.size() - 1; }
+    /** Tells the node periodically how long an event waits for the processor. */
+    void measureLoopDelay();
     /** Accepts waiting connections, as many as one turn of the event loop does. */
     void acceptConnections();
     /** Reads a request and decides on it; returns the processor time that this took. */
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -15,6 +15,8 @@
 constexpr int statusUnavailable = 503;
 /** The Retry-After while there is no configuration or no available target. */
 constexpr absl::Duration retryAfterStart = absl::Seconds(1);
+/** Short, because another router can answer. */
+constexpr absl::Duration retryAfterOverloaded = absl::Milliseconds(100);
 /** The minimum Retry-After of a rejection for overload. */
 constexpr absl::Duration minRetryAfter = absl::Milliseconds(200);
 /** The service time that is assumed for plain requests before any was answered. */
@@ -132,6 +134,19 @@
                              .deadline = deadline};
 }
 
+std::optional<rejection> forwarding_node::rejectIfOverloaded(const admitted_request &request,
+                                                             const request_description &description,
+                                                             absl::Time now)
+{
+    if (shareDraw(description.id) < 1.0 - m_overload.rejectedFraction(now))
+        return std::nullopt;
+    if (!description.prompt.empty())
+        m_accounts.onDecided(request.workspace, costInTokens(description), false, now);
+    return rejection {.status = statusUnavailable,
+                      .code = result_code::RouterOverloaded,
+                      .retryAfter = retryAfterOverloaded};
+}
+
 void forwarding_node::onAdmitted(const admitted_request &request, absl::Time now)
 {
     m_retryBudget.onRequest(request.service, now);
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/processor/overload_detector.h"
 #include "budgets/cold/cold_start_limiter.h"
 #include "budgets/connection/connection_share.h"
 #include "budgets/retry/shared_retry_budget.h"
@@ -19,6 +20,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -56,6 +58,15 @@
     /** Checks a request against the active configuration. */
     std::variant<admitted_request, rejection> admit(const request_description &request,
                                                     absl::Time arrivedAt) const;
+    /** Adds the delay with which the event loop ran an event, and when the next one is due. */
+    void onLoopDelay(absl::Duration delay, absl::Time nextDueAt)
+    {
+        m_overload.onLoopDelay(delay, nextDueAt);
+    }
+    /** Returns the rejection of a request that this router has no processor time for. */
+    std::optional<rejection> rejectIfOverloaded(const admitted_request &request,
+                                                const request_description &description,
+                                                absl::Time now);
     /** Counts an admitted request towards the retry budget. */
     void onAdmitted(const admitted_request &request, absl::Time now);
     /**
@@ -163,6 +174,7 @@
     forwarding_options m_options;
     std::shared_ptr<const route_table> m_table;
     target_directory m_directory;
+    overload_detector m_overload;
     cold_start_limiter m_coldLimiter;
     shared_retry_budget m_retryBudget;
     absl::flat_hash_map<std::string, target_view> m_views;
--- a/modules/foundation/errors/result_code.h
+++ b/modules/foundation/errors/result_code.h
@@ -33,6 +33,7 @@
     NoTargetAvailable = 2007,
     CallerGone = 2008,
     TargetRefused = 2009,
+    RouterOverloaded = 2010,
 
     OutcomeUnknown = 3001,
     TargetFailed = 3002,
--- a/tests/admission/admission_test.cpp
+++ b/tests/admission/admission_test.cpp
@@ -95,3 +95,41 @@
         CHECK(withinShare < 1100);
     }
 }
+
+TEST_CASE("a router rejects what its processor has no time for", "[admission]")
+{
+    const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
+    const absl::Time nextDueAt = now + absl::Milliseconds(50);
+    overload_detector detector(
+        {.minDelay = absl::Milliseconds(50), .maxDelay = absl::Milliseconds(250)});
+
+    SECTION("nothing before the first delay was measured, and while delays are short")
+    {
+        CHECK(detector.rejectedFraction(now) == 0.0);
+        detector.onLoopDelay(absl::Milliseconds(50), nextDueAt);
+        CHECK(detector.rejectedFraction(now) == 0.0);
+    }
+
+    SECTION("the more, the longer an event waits for the processor")
+    {
+        detector.onLoopDelay(absl::Milliseconds(100), nextDueAt);
+        CHECK(detector.rejectedFraction(now) == Approx(0.25));
+        detector.onLoopDelay(absl::Milliseconds(250), nextDueAt);
+        CHECK(detector.rejectedFraction(now) == 1.0);
+        detector.onLoopDelay(absl::Seconds(5), nextDueAt);
+        CHECK(detector.rejectedFraction(now) == 1.0);
+
+        AND_THEN("and nothing again once it is short")
+        {
+            detector.onLoopDelay(absl::ZeroDuration(), nextDueAt);
+            CHECK(detector.rejectedFraction(now) == 0.0);
+        }
+    }
+
+    SECTION("also before the event that is late has run")
+    {
+        detector.onLoopDelay(absl::ZeroDuration(), nextDueAt);
+        CHECK(detector.rejectedFraction(nextDueAt + absl::Milliseconds(50)) == 0.0);
+        CHECK(detector.rejectedFraction(nextDueAt + absl::Milliseconds(150)) == Approx(0.5));
+    }
+}
