An earlier refusal without an identifier is not taken for a new request's

Reported by an operator of a like system: a faulty engine writes an earlier refusal once more on a kept connection. Seen here with a stand-in that does it: a refusal with the earlier request's identifier was passed over, one without an identifier was accepted as the new request's own.

Cause: an answer without an identifier was accepted when it said that nothing was executed; on a connection that carried requests before it may belong to any of them.

Change: such an answer counts only on a connection that no earlier request used; elsewhere it is skipped like any other request's answer.

Two further reports are shown impossible by tests that pass on the code as found: an error of the engine that should continue a stream does not enter it, and an answer whose head breaks off ends as 502.

--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -141,7 +141,8 @@
 
 answer_disposition request_handler::onHead(const response_head &head)
 {
-    const answer_description answer = platform::describeAnswer(head);
+    answer_description answer = platform::describeAnswer(head);
+    answer.isOnNewConnection = !m_connection->hasEarlierExchange();
     const head_decision decision = m_lifecycle->onAnswerHead(answer, edgeNow());
     if (decision.disposition == answer_disposition::Skip)
         m_log.answerMismatched(m_lifecycle->target(), answer.requestId, head.status);
--- a/apps/edge/target_connection.cpp
+++ b/apps/edge/target_connection.cpp
@@ -36,6 +36,7 @@
     m_reader = response_reader(isHead);
     m_input.clear();
     m_isHead = isHead;
+    ++m_exchangeCount;
     m_isBusy = true;
     m_isSent = false;
     m_isHeadAccepted = false;
--- a/apps/edge/target_connection.h
+++ b/apps/edge/target_connection.h
@@ -42,6 +42,8 @@
     /** True if another exchange may use the connection. */
     bool isReusable() const;
     bool isOpen() const { return m_isOpen; }
+    /** True if an exchange before the current one used the connection. */
+    bool hasEarlierExchange() const { return m_exchangeCount > 1; }
     /** Sets how long the target keeps an idle connection open; zero if it did not announce this. */
     void setIdleTimeout(absl::Duration timeout) { m_idleTimeout = timeout; }
     absl::Duration idleTimeout() const { return m_idleTimeout; }
@@ -81,6 +83,7 @@
     bool m_isSkipping = false;
     bool m_isHead = false;
     bool m_keepAlive = true;
+    int m_exchangeCount = 0;
     int m_skipped = 0;
     std::size_t m_skippedBytes = 0;
 };
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -163,8 +163,9 @@
                          .waiting = answer.waiting,
                          .slots = answer.slots,
                          .at = now});
-    const bool isOurs = answer.requestId == m_description.id;
-    if (!isOurs && !(answer.requestId.empty() && answer.isNotExecuted))
+    const bool isUnnamedRefusal
+        = answer.requestId.empty() && answer.isNotExecuted && answer.isOnNewConnection;
+    if (answer.requestId != m_description.id && !isUnnamedRefusal)
         return {.disposition = answer_disposition::Skip};
     if (answer.isSuccess() && (!answer.isSigned || answer.isEncoded))
         return {.disposition = answer_disposition::Abandon};
--- a/modules/forwarding/request/answer_description.h
+++ b/modules/forwarding/request/answer_description.h
@@ -15,6 +15,8 @@
     int status = 0;
     /** True if the target states that it did not run the request. */
     bool isNotExecuted = false;
+    /** True if no earlier request was sent over the connection, whose answer this could be. */
+    bool isOnNewConnection = false;
     /** True if a different target answered at the address. */
     bool isFromOtherTarget = false;
     /** True if the answer carries the target's signature. */
--- a/standins/platform/platform_engine.cpp
+++ b/standins/platform/platform_engine.cpp
@@ -166,6 +166,20 @@
         write(socket, fullResponse.substr(0, fullResponse.size() - 3));
         return false;
     }
+    if (behaviour.starts_with("stale-refusal")) {
+        const std::string earlierId
+            = behaviour == "stale-refusal" ? "X-Attempt-Id: earlier\r\n" : "";
+        write(socket,
+              "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + earlierId
+                  + "Content-Length: 0\r\n\r\n");
+        std::this_thread::sleep_for(slowAnswerStep);
+        write(socket, fullResponse);
+        return true;
+    }
+    if (behaviour == "head-only") {
+        write(socket, responseHead);
+        return false;
+    }
     if (behaviour == "extra") {
         write(socket, fullResponse + fullResponse);
         return true;
@@ -178,7 +192,13 @@
         flood(socket, responseHead, arrival);
         return false;
     }
-    if (behaviour == "events" || behaviour == "broken") {
+    if (behaviour == "broken-then-error" && !fields.valueOf("Last-Event-Id").empty()) {
+        write(socket,
+              "HTTP/1.1 500 Error\r\nX-Server-Stamp: " + m_id + "\r\n" + id
+                  + "Content-Length: 12\r\n\r\nerror's text");
+        return true;
+    }
+    if (behaviour == "events" || behaviour.starts_with("broken")) {
         streamEvents(socket, responseHead, request.head(), arrival);
         return false;
     }
@@ -249,7 +269,7 @@
                                    const request_head &request, std::size_t arrival)
 {
     const std::string last(request.fields.valueOf("Last-Event-Id"));
-    const bool isTruncated = request.fields.valueOf("X-Test-Do") == "broken" && last.empty();
+    const bool isTruncated = request.fields.valueOf("X-Test-Do") != "events" && last.empty();
     write(socket, head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
     for (int number = last.empty() ? 1 : std::stoi(last) + 1; number <= lastEvent; ++number) {
         const std::string text = eventText(number);
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -42,6 +42,10 @@
  * - events: streams 8 events.
  * - broken: streams events, but truncates the fourth and closes the connection, unless the request
  *   resumes a stream with Last-Event-Id.
+ * - broken-then-error: as broken, but answers 500 to a request that resumes the stream.
+ * - head-only: closes the connection before the end of the head of its answer.
+ * - stale-refusal, stale-refusal-unnamed: executes the request, but writes a refusal of an earlier
+ *   request before the answer, with that request's identifier or without any.
  * - flood: streams 64 MB.
  * - endless-line, endless-fields, endless-interim: sends a head that never ends.
  * - endless-error, endless-other, endless-event: sends the body of an error, of another request's
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -331,6 +331,31 @@
         CHECK(runs("r1") == 0);
     }
 
+    SECTION("an earlier refusal, written again on a kept connection, is not taken for a new one")
+    {
+        for (const std::string engineAction : {"stale-refusal", "stale-refusal-unnamed"}) {
+            INFO(engineAction);
+            router.answerTo(post("/once/x", "kept-" + engineAction, "answer"));
+            const std::string answer = router.answerTo(post("/once/x", engineAction, engineAction));
+            CHECK(answer.starts_with("HTTP/1.1 200"));
+            CHECK(answer.ends_with("answer to question"));
+            CHECK(runs(engineAction) == 1);
+        }
+    }
+
+    SECTION("an answer whose head breaks off is not relayed")
+    {
+        for (const std::string route : {"/safe/x", "/once/x", "/stream/x", "/resume/x"}) {
+            const std::string answer = router.answerTo(post(route, route, "head-only"));
+            CAPTURE(route, answer);
+            CHECK(answer.starts_with("HTTP/1.1 502"));
+            CHECK(answer.find("X-Server-Stamp") == std::string::npos);
+            CHECK(runs(route) >= 1);
+        }
+        CHECK(runs("/once/x") == 1);
+        CHECK(runs("/stream/x") == 1);
+    }
+
     SECTION("a surplus answer reaches no caller")
     {
         CHECK(router.answerTo(post("/safe/x", "e1", "extra")).ends_with("answer to question"));
@@ -358,6 +383,19 @@
             CHECK(runs("st2") == 1);
         }
 
+        SECTION("an error of the engine that should continue a stream does not enter it")
+        {
+            const std::string broken
+                = router.answerTo(post("/resume/x", "st4", "broken-then-error"));
+            CHECK(broken.starts_with("HTTP/1.1 200"));
+            CHECK(broken.find("piece3") != std::string::npos);
+            CHECK(broken.find("error") == std::string::npos);
+            CHECK(broken.find("500") == std::string::npos);
+            CHECK(broken.find("HTTP/1.1", 1) == std::string::npos);
+            CHECK_FALSE(broken.ends_with("0\r\n\r\n"));
+            CHECK(runs("st4") == 2);
+        }
+
         SECTION("a resumable stream continues at the other engine, with each event once")
         {
             const std::string resumed = router.answerTo(post("/resume/x", "st3", "broken"));
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -192,6 +192,30 @@
     }
 }
 
+TEST_CASE("an answer that does not say that it did not run is no refusal", "[life]")
+{
+    router testRouter;
+    request_lifecycle request = testRouter.request("once");
+    request.start(false, start);
+
+    SECTION("nor one without an identifier, where an earlier request may have been refused")
+    {
+        const answer_description unnamed {.status = 503, .isNotExecuted = true};
+        CHECK(request.onAnswerHead(unnamed, start).disposition == answer_disposition::Skip);
+        CHECK(request.onAnswerHead(goodHead, start).disposition == answer_disposition::Accept);
+        request.onAnswerBody("whole", start);
+        CHECK(find<relay_answer>(request.onAnswerComplete(start)) != nullptr);
+    }
+
+    SECTION("but one without an identifier on a new connection can only be its own")
+    {
+        const answer_description unnamed {
+            .status = 503, .isNotExecuted = true, .isOnNewConnection = true};
+        CHECK(request.onAnswerHead(unnamed, start).disposition == answer_disposition::Accept);
+        CHECK(find<send_request>(request.onAnswerComplete(start)) != nullptr);
+    }
+}
+
 TEST_CASE("an idempotent request", "[life]")
 {
     router testRouter;
