A target's 408 or 429 that does not say it did not run is no promise

What callers could be told: 503, not run, for a request that its engine had run.

Cause: statuses that callers read as a promise are not relayed; the router's own answer stands in their place. For 408 and 429 without the statement that nothing was executed no attempt was recorded as one that may have run, so that the router's answer was 503. For 5xx it was recorded.

Change: such an answer counts as an attempt that may have run, and the caller gets 502.

--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -281,6 +281,8 @@
 void request_lifecycle::relayCompleteAnswer(request_actions &actions, absl::Time now)
 {
     if (m_isHeadRelayed || impliesNotExecuted(m_answer.status)) {
+        if (m_history.isNotExecuted())
+            m_history = withFailure(m_history, attempt_failure::Failed);
         fail(false, actions, now);
         return;
     }
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -198,6 +198,16 @@
     request_lifecycle request = testRouter.request("once");
     request.start(false, start);
 
+    SECTION("whatever its status")
+    {
+        const int status = GENERATE(408, 429, 503);
+        request.onAnswerHead({.requestId = "r", .status = status, .isSigned = true}, start);
+        const request_actions last = request.onAnswerComplete(start);
+        CHECK(find<send_request>(last) == nullptr);
+        CHECK(ownStatus(last) == 502);
+        CHECK_FALSE(find<answer_locally>(last)->isNotExecuted);
+    }
+
     SECTION("nor one without an identifier, where an earlier request may have been refused")
     {
         const answer_description unnamed {.status = 503, .isNotExecuted = true};
