Targets that say they leave, or refuse with a time, get no requests

Nothing in the code read either, so that a VM without a working store went on sending to an engine that was about to exit, and to a busy one at once again.

target_notices remembers both for one incarnation of a target, whatever the store says of it: a record that lapses and comes back does not end a notice, a new start does. A 421 says nothing of the target that was meant, an answer to another request is not heeded, and times that can't be read are ignored (over an hour counts as an hour).

The two new sections of tests/edge failed before (3 and 9 checks: 4 more requests at the engine that left, 4 at those that refused); they and the new sections in directory, platform and forwarding pass.

--- a/modules/directory/target/target_directory.cpp
+++ b/modules/directory/target/target_directory.cpp
@@ -67,6 +67,30 @@
         found->second.isReplaced = true;
 }
 
+void target_directory::markLeaving(const std::string &id, std::int64_t startedAtMs, absl::Time now)
+{
+    m_notices.onLeaving(id, startedAtMs, now);
+}
+
+void target_directory::markRefusing(const std::string &id, std::int64_t startedAtMs,
+                                    absl::Time until, absl::Time now)
+{
+    m_notices.onRefusing(id, startedAtMs, until, now);
+}
+
+std::optional<absl::Time> target_directory::nextAvailableAt(const std::string &service,
+                                                            absl::Time now) const
+{
+    absl::Time earliest = absl::InfiniteFuture();
+    for (const auto &[id, state] : m_targets) {
+        if (state.record.service == service && isListedForUse(state, now))
+            earliest = std::min(earliest, m_notices.refusesUntil(state.record));
+    }
+    if (earliest == absl::InfiniteFuture())
+        return std::nullopt;
+    return earliest;
+}
+
 void target_directory::markUnreachable(const std::string &id, absl::Time now)
 {
     if (const auto found = m_targets.find(id); found != m_targets.end())
@@ -111,6 +135,11 @@
 }
 
 bool target_directory::mayReceive(const target_state &state, absl::Time now) const
+{
+    return isListedForUse(state, now) && m_notices.refusesUntil(state.record) <= now;
+}
+
+bool target_directory::isListedForUse(const target_state &state, absl::Time now) const
 {
     return !state.record.isDraining && !state.isReplaced && now < state.lapsesAt
         && !m_evacuated.contains(state.record.dataCentre);
--- a/modules/directory/target/target_directory.h
+++ b/modules/directory/target/target_directory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "directory/target/target_notices.h"
 #include "directory/target/target_record.h"
 
 #include <absl/container/btree_map.h>
@@ -60,6 +61,16 @@
     void remove(const std::string &id, absl::Time now);
     /** Excludes a target at whose address another one answered, until it moves or restarts. */
     void markReplaced(const std::string &id);
+    /** Excludes this incarnation of a target, which said in an answer that it leaves. */
+    void markLeaving(const std::string &id, std::int64_t startedAtMs, absl::Time now);
+    /** Excludes this incarnation of a target until a time that it named in a refusal. */
+    void markRefusing(const std::string &id, std::int64_t startedAtMs, absl::Time until,
+                      absl::Time now);
+    /**
+     * Returns the earliest time at which a target of the service takes requests again that is
+     * excluded only until then; nothing if there is none.
+     */
+    std::optional<absl::Time> nextAvailableAt(const std::string &service, absl::Time now) const;
     /**
      * Records that the target was unreachable or a connection broke, so that it may be restarting.
      */
@@ -97,10 +108,13 @@
 
 private:
     bool mayReceive(const target_state &state, absl::Time now) const;
+    /** True if nothing but the target's own notice speaks against sending it requests. */
+    bool isListedForUse(const target_state &state, absl::Time now) const;
     /** Removes entries whose grace period has ended. */
     void removeLapsed(absl::Time now);
 
     absl::btree_map<std::string, target_state> m_targets;
+    target_notices m_notices;
     absl::flat_hash_set<std::string> m_evacuated;
     bool m_isListUnavailable = false;
     absl::Time m_listAvailableSince = absl::InfinitePast();
--- /dev/null
+++ b/modules/directory/target/target_notices.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "directory/target/target_record.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/time/time.h>
+
+#include <cstdint>
+#include <string>
+
+namespace quetzal {
+
+/**
+ * Remembers what targets said of themselves in their answers: that they leave, or want no requests
+ * for some time.
+ *
+ * A notice holds for one incarnation of a target. It is independent of the target's record, which
+ * may be late, lapse and come back.
+ */
+class target_notices
+{
+public:
+    /** How long a notice is remembered; a target that leaves is gone long before. */
+    static constexpr absl::Duration lifetime = absl::Minutes(10);
+
+    /** Records that this incarnation of a target leaves. */
+    void onLeaving(const std::string &id, std::int64_t startedAtMs, absl::Time now);
+    /** Records that this incarnation of a target wants no requests before a time. */
+    void onRefusing(const std::string &id, std::int64_t startedAtMs, absl::Time until,
+                    absl::Time now);
+    /** Returns when the target takes requests; the infinite past if it does now. */
+    absl::Time refusesUntil(const target_record &record) const;
+
+private:
+    struct notice
+    {
+        std::int64_t startedAtMs = 0;
+        absl::Time refusesUntil = absl::InfinitePast();
+        absl::Time receivedAt;
+    };
+
+    /** Returns the notice of an incarnation, without those of earlier ones. */
+    notice &noticeOf(const std::string &id, std::int64_t startedAtMs, absl::Time now);
+
+    absl::flat_hash_map<std::string, notice> m_notices;
+};
+
+} // namespace quetzal
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -167,6 +167,7 @@
         = answer.requestId.empty() && answer.isNotExecuted && answer.isOnNewConnection;
     if (answer.requestId != m_description.id && !isUnnamedRefusal)
         return {.disposition = answer_disposition::Skip};
+    m_node.onNotice(m_number, m_target, answer, now);
     if (answer.isSuccess() && (!answer.isSigned || answer.isEncoded))
         return {.disposition = answer_disposition::Abandon};
     head_decision decision {.disposition = answer_disposition::Accept};
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -252,6 +252,14 @@
     return candidateSet;
 }
 
+absl::Duration forwarding_node::retryAfterNoTarget(const std::string &service, absl::Time now) const
+{
+    const auto availableAt = m_directory.nextAvailableAt(service, now);
+    if (!availableAt || *availableAt <= now)
+        return retryAfterStart;
+    return std::max(*availableAt - now, minRetryAfter);
+}
+
 std::variant<placement, rejection>
 forwarding_node::place(std::uint64_t number, const admitted_request &request,
                        const request_description &description,
@@ -259,7 +267,7 @@
 {
     const rejection noTarget {.status = statusUnavailable,
                               .code = result_code::NoTargetAvailable,
-                              .retryAfter = retryAfterStart};
+                              .retryAfter = retryAfterNoTarget(request.service, now)};
     const service_description *service = request.table->service(request.service);
     if (service == nullptr)
         return noTarget;
@@ -315,7 +323,8 @@
                               .isModelRequest = service.isModelEngine(),
                               .wasTargetIdle = chosen.backlog <= absl::ZeroDuration(),
                               .missingTokens = details.missingTokens,
-                              .sentAt = now};
+                              .sentAt = now,
+                              .targetStartedAtMs = state.record.startedAtMs};
     view.load.onSent(number, chosen.backlog, chosen.ownWork, now);
     if (view.cache) {
         view.cache->use(description.prompt);
@@ -434,6 +443,19 @@
     dropViewIfRemoved(target);
 }
 
+void forwarding_node::onNotice(std::uint64_t number, const std::string &target,
+                               const answer_description &answer, absl::Time now)
+{
+    const auto open = m_openRequests.find(number);
+    if (open == m_openRequests.end())
+        return;
+    if (answer.isTargetLeaving)
+        m_directory.markLeaving(target, open->second.targetStartedAtMs, now);
+    if (answer.retryAfter)
+        m_directory.markRefusing(target, open->second.targetStartedAtMs, now + *answer.retryAfter,
+                                 now);
+}
+
 void forwarding_node::onReport(const std::string &target, const reported_load &report)
 {
     if (const auto view = m_views.find(target); view != m_views.end())
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -9,6 +9,7 @@
 #include "forwarding/node/forwarding_types.h"
 #include "forwarding/node/service_speed.h"
 #include "forwarding/node/workspace_accounts.h"
+#include "forwarding/request/answer_description.h"
 #include "forwarding/request/request_description.h"
 #include "forwarding/route/route_table.h"
 #include "placement/cache/prompt_cache_view.h"
@@ -88,6 +89,9 @@
     void onAnswerBegan(std::uint64_t number, const std::string &target, absl::Time now);
     /** Removes the request from the load of its target; records a failure of the target, if any. */
     void onEnded(std::uint64_t number, const std::string &target, exchange_end end, absl::Time now);
+    /** Records what a target said of itself with the answer to a request. */
+    void onNotice(std::uint64_t number, const std::string &target, const answer_description &answer,
+                  absl::Time now);
     /** Stores the load that a target reported with an answer. */
     void onReport(const std::string &target, const reported_load &report);
 
@@ -112,6 +116,8 @@
         bool wasTargetIdle = false;
         std::int64_t missingTokens = 0;
         absl::Time sentAt;
+        /** The incarnation of the target. */
+        std::int64_t targetStartedAtMs = 0;
     };
     /** The load and the prompt cache of one target, as estimated by this router. */
     struct target_view
@@ -148,6 +154,8 @@
                               const request_description &description,
                               const target_candidate &chosen, const candidate_details &details,
                               absl::Time now);
+    /** Returns when a caller may come back to whose request no target is available. */
+    absl::Duration retryAfterNoTarget(const std::string &service, absl::Time now) const;
     connection_bounds connectionBounds(const service_description &service) const;
     /** Returns how many connections this router may have open to a target; 0 for no limit. */
     int maxConnectionsTo(const std::string &target, const service_description &service,
--- a/modules/forwarding/request/answer_description.h
+++ b/modules/forwarding/request/answer_description.h
@@ -26,6 +26,10 @@
      * target's original body.
      */
     bool isEncoded = false;
+    /** True if the target says that it leaves. */
+    bool isTargetLeaving = false;
+    /** For how long the target wants no further requests, if it refused this one for that. */
+    std::optional<absl::Duration> retryAfter;
     /** How long the target keeps an idle connection open. */
     std::optional<absl::Duration> idleTimeout;
     /** The number of requests running at the target; nothing if the answer reports no load. */
--- a/standins/platform/platform_engine.cpp
+++ b/standins/platform/platform_engine.cpp
@@ -150,9 +150,19 @@
               "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + id + "Content-Length: 0\r\n\r\n");
         return true;
     }
+    if (behaviour == "refuse-for-a-second" || behaviour == "leave-refusing") {
+        recordArrival(request, false);
+        const std::string notice
+            = behaviour == "leave-refusing" ? "Server-Leaving: 1\r\n" : "Retry-After: 1.0\r\n";
+        write(socket,
+              "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + notice + id
+                  + "Content-Length: 0\r\n\r\n");
+        return true;
+    }
     const std::size_t arrival = recordArrival(request, true);
-    const std::string responseHead
-        = "HTTP/1.1 200 OK\r\nX-Server-Stamp: " + m_id + "\r\nKeep-Alive: timeout=5\r\n" + id;
+    const std::string responseHead = "HTTP/1.1 200 OK\r\nX-Server-Stamp: " + m_id
+        + "\r\nKeep-Alive: timeout=5\r\n" + (behaviour == "leave" ? "Server-Leaving: 1\r\n" : "")
+        + id;
     const std::string body = "answer to " + request.body();
     const std::string fullResponse
         = responseHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -34,6 +34,8 @@
  * An engine of the platform whose behaviour the request field X-Test-Do selects:
  *
  * - refuse: answers 503 without executing the request.
+ * - refuse-for-a-second: refuses as refuse does, with a Retry-After of 1 s.
+ * - leave, leave-refusing: answers, or refuses, with the field of an engine that leaves.
  * - lose: executes the request and closes the connection without an answer.
  * - garble: sends a malformed answer and closes the connection.
  * - truncate: closes the connection 3 bytes before the end of the answer.
--- a/tests/directory/target_directory_test.cpp
+++ b/tests/directory/target_directory_test.cpp
@@ -38,6 +38,51 @@
         CHECK(directory.mayReceive("b", start));
     }
 
+    SECTION("a target that said it leaves receives no more requests, whatever its record says")
+    {
+        directory.markLeaving("a", 1, start);
+        CHECK_FALSE(directory.mayReceive("a", start));
+        CHECK(directory.mayReceive("b", start));
+        CHECK(directory.usableTargets("model", start).size() == 1);
+        const absl::Time later = start + absl::Minutes(1);
+        directory.apply(engine("a"), absl::ZeroDuration(), later);
+        CHECK_FALSE(directory.mayReceive("a", later));
+
+        AND_WHEN("its record disappears and comes back")
+        {
+            directory.remove("a", later);
+            directory.apply(engine("a"), absl::ZeroDuration(), later);
+            CHECK_FALSE(directory.mayReceive("a", later));
+        }
+
+        AND_WHEN("it starts again under the same name")
+        {
+            target_record restarted = engine("a");
+            restarted.startedAtMs = 2;
+            directory.apply(restarted, absl::ZeroDuration(), later);
+            CHECK(directory.mayReceive("a", later));
+            directory.markLeaving("b", 0, later);
+            CHECK(directory.mayReceive("b", later));
+        }
+    }
+
+    SECTION("a target that refused with a time receives nothing before it")
+    {
+        const absl::Time until = start + absl::Milliseconds(1500);
+        directory.markRefusing("a", 1, until, start);
+        directory.markRefusing("a", 1, start + absl::Milliseconds(200), start);
+        CHECK_FALSE(directory.mayReceive("a", until - absl::Milliseconds(1)));
+        CHECK(directory.mayReceive("a", until));
+        CHECK(directory.mayReceive("b", start));
+
+        AND_WHEN("all others are gone or leave, it is known when the next one takes requests")
+        {
+            directory.markLeaving("b", 1, start);
+            CHECK(directory.nextAvailableAt("model", start) == until);
+            CHECK_FALSE(directory.nextAvailableAt("other", start).has_value());
+        }
+    }
+
     SECTION("an unreachable target is treated as cold until the list rules out a restart")
     {
         const target_state &state = *directory.find("a");
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -356,6 +356,42 @@
         CHECK(runs("/stream/x") == 1);
     }
 
+    SECTION("an engine that says in an answer that it leaves receives no further requests")
+    {
+        CHECK(router.answerTo(post("/safe/x", "leave", "leave")).starts_with("HTTP/1.1 200"));
+        platform_engine &leaving = countRuns(first, "leave") == 1 ? first : second;
+        platform_engine &staying = countRuns(first, "leave") == 1 ? second : first;
+        const std::size_t before = leaving.arrivals().size();
+        for (int request = 0; request < 4; ++request)
+            CHECK(router.answerTo(post("/safe/x", "after", "answer")).starts_with("HTTP/1.1 200"));
+        CHECK(leaving.arrivals().size() == before);
+
+        AND_WHEN("the last engine refuses a request and says that it leaves")
+        {
+            router.answerTo(post("/safe/x", "refused", "leave-refusing"));
+            const std::size_t last = staying.arrivals().size();
+            CHECK(router.answerTo(post("/safe/x", "none", "answer")).starts_with("HTTP/1.1 503"));
+            CHECK(staying.arrivals().size() == last);
+            CHECK(leaving.arrivals().size() == before);
+        }
+    }
+
+    SECTION("an engine that refuses with Retry-After receives nothing for that time")
+    {
+        const std::string refused = router.answerTo(post("/once/x", "busy", "refuse-for-a-second"));
+        CHECK(refused.starts_with("HTTP/1.1 503"));
+        const std::size_t before = first.arrivals().size() + second.arrivals().size();
+        for (int request = 0; request < 4; ++request) {
+            const std::string answer = router.answerTo(post("/once/x", "early", "answer"));
+            CHECK(answer.starts_with("HTTP/1.1 503"));
+            CHECK(answer.find("Retry-After: ") != std::string::npos);
+        }
+        CHECK(first.arrivals().size() + second.arrivals().size() == before);
+        CHECK(eventually([&] {
+            return router.answerTo(post("/once/x", "later", "answer")).starts_with("HTTP/1.1 200");
+        }));
+    }
+
     SECTION("a surplus answer reaches no caller")
     {
         CHECK(router.answerTo(post("/safe/x", "e1", "extra")).ends_with("answer to question"));
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -371,3 +371,57 @@
         CHECK(served() == 500);
     }
 }
+
+TEST_CASE("a target that wants no more requests gets none", "[life]")
+{
+    router testRouter;
+    const auto sentTo = [&](const request_actions &actions) {
+        const auto *sent = find<send_request>(actions);
+        return sent == nullptr ? std::string() : sent->destination.target;
+    };
+    request_lifecycle request = testRouter.request("once");
+    const std::string first = sentTo(request.start(false, start));
+    REQUIRE_FALSE(first.empty());
+
+    SECTION("because it leaves, as its answer says")
+    {
+        request.onAnswerHead(
+            {.requestId = "r", .status = 200, .isSigned = true, .isTargetLeaving = true}, start);
+        request.onAnswerComplete(start);
+        for (int number = 0; number < 4; ++number) {
+            request_lifecycle next = testRouter.request("once");
+            const std::string target
+                = sentTo(next.start(false, start + absl::Milliseconds(700) * number));
+            CHECK_FALSE(target.empty());
+            CHECK(target != first);
+        }
+    }
+
+    SECTION("before the time that it named in a refusal")
+    {
+        answer_description refusalWithTime = refusal;
+        refusalWithTime.retryAfter = absl::Seconds(2);
+        request.onAnswerHead(refusalWithTime, start);
+        const std::string second = sentTo(request.onAnswerComplete(start));
+        CHECK(second != first);
+        request.onAnswerHead(refusalWithTime, start);
+        CHECK(ownStatus(request.onAnswerComplete(start)) == 503);
+
+        request_lifecycle early = testRouter.request("once");
+        const request_actions rejected = early.start(false, start + absl::Milliseconds(600));
+        CHECK(ownStatus(rejected) == 503);
+        CHECK(find<answer_locally>(rejected)->reason.retryAfter == absl::Milliseconds(1400));
+
+        request_lifecycle late = testRouter.request("once");
+        CHECK_FALSE(sentTo(late.start(false, start + absl::Seconds(2))).empty());
+    }
+
+    SECTION("unless the answer belongs to another request")
+    {
+        answer_description other = refusal;
+        other.requestId = "another";
+        other.retryAfter = absl::Seconds(2);
+        request.onAnswerHead(other, start);
+        CHECK(testRouter.node.directory().mayReceive(first, start));
+    }
+}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -214,6 +214,32 @@
         CHECK(other.isNotExecuted);
         CHECK(other.isFromOtherTarget);
     }
+    SECTION("a target may say that it leaves, or refuse for some time")
+    {
+        CHECK_FALSE(answer.isTargetLeaving);
+        CHECK_FALSE(answer.retryAfter.has_value());
+        response_head leaving {.status = 200};
+        leaving.fields.add("Server-Leaving", "1");
+        leaving.fields.add("Retry-After", "3");
+        CHECK(platform::describeAnswer(leaving).isTargetLeaving);
+        CHECK_FALSE(platform::describeAnswer(leaving).retryAfter.has_value());
+        leaving.status = 421;
+        CHECK_FALSE(platform::describeAnswer(leaving).isTargetLeaving);
+        leaving.status = 503;
+        CHECK(platform::describeAnswer(leaving).retryAfter == absl::Seconds(3));
+
+        for (const auto &[text, seconds] :
+             {std::pair("1.5", 1.5), std::pair("1e9", 3600.0), std::pair("inf", 3600.0)}) {
+            response_head refusal {.status = 503};
+            refusal.fields.add("Retry-After", text);
+            CHECK(platform::describeAnswer(refusal).retryAfter == absl::Seconds(seconds));
+        }
+        for (const char *text : {"0", "-1", "nan", "soon", "", "Sat, 05 Dec 2026 00:00:00 GMT"}) {
+            response_head refusal {.status = 503};
+            refusal.fields.add("Retry-After", text);
+            CHECK_FALSE(platform::describeAnswer(refusal).retryAfter.has_value());
+        }
+    }
     SECTION("malformed numbers are ignored")
     {
         response_head malformed {.status = 200};
