--- a/modules/exchange/view/fleet_view.cpp
+++ b/modules/exchange/view/fleet_view.cpp
@@ -13,6 +13,13 @@
 
 } // namespace
 
+void fleet_view::setPeerCount(std::size_t peers)
+{
+    m_loadLifetime = digestLifetime(digestInterval(peers));
+    m_backlogLifetime = digestLifetime(backlogInterval(peers));
+    m_sumsValidUntil = absl::InfinitePast();
+}
+
 fleet_view::received_digests *fleet_view::entryFor(const std::string &vm, std::uint64_t incarnation,
                                                    std::uint64_t sequence)
 {
@@ -68,13 +75,11 @@
 
 void fleet_view::sumLoads(absl::Time now) const
 {
-    const absl::Duration backlogLifetime = digestLifetime(backlogInterval(m_peers));
-    const absl::Duration loadLifetime = digestLifetime(digestInterval(m_peers));
     m_sums.clear();
     m_sumsValidUntil = absl::InfiniteFuture();
     for (const auto &[vm, known] : m_received) {
-        const absl::Time backlogsUntil = known.backlogsReceivedAt + backlogLifetime;
-        const absl::Time loadUntil = known.loadReceivedAt + loadLifetime;
+        const absl::Time backlogsUntil = known.backlogsReceivedAt + m_backlogLifetime;
+        const absl::Time loadUntil = known.loadReceivedAt + m_loadLifetime;
         if (now <= backlogsUntil) {
             m_sumsValidUntil = std::min(m_sumsValidUntil, backlogsUntil);
             for (const auto &[target, backlog] : known.backlogs)
@@ -109,7 +114,7 @@
 
 bool fleet_view::isLoadCurrent(const received_digests &known, absl::Time now) const
 {
-    return now - known.loadReceivedAt <= digestLifetime(digestInterval(m_peers));
+    return now - known.loadReceivedAt <= m_loadLifetime;
 }
 
 workspace_usage fleet_view::usageOf(name_hash workspace, absl::Time now) const
--- a/modules/exchange/view/fleet_view.h
+++ b/modules/exchange/view/fleet_view.h
@@ -35,7 +35,7 @@
 {
 public:
     /** Sets the number of other routers, from which the lifetime of their digests follows. */
-    void setPeerCount(std::size_t peers) { m_peers = peers; }
+    void setPeerCount(std::size_t peers);
 
     /** Stores a digest; false if it is out of order or a duplicate. */
     bool apply(const load_digest &digest, absl::Time now);
@@ -83,7 +83,9 @@
     /** Sums the loads of all routers by target, and sets until when the sums are valid. */
     void sumLoads(absl::Time now) const;
 
-    std::size_t m_peers = 0;
+    /** For how long digests are used after they were received. */
+    absl::Duration m_loadLifetime = digestLifetime(digestInterval(0));
+    absl::Duration m_backlogLifetime = digestLifetime(backlogInterval(0));
     absl::flat_hash_map<std::string, received_digests> m_received;
     /** The cached sums of all routers by target; invalid after m_sumsValidUntil. */
     mutable absl::flat_hash_map<name_hash, remote_load> m_sums;
