A workspace within its share waits rather than being rejected

Cause: its prompts lie at targets that others have filled, and every workspace within its share had the same limit, one latency objective. Requests of the greedy one, a quarter of an objective each and from 72 VMs at once, hold such targets above it.

Change: below its share a workspace's limit rises with what it leaves of it, up to two objectives, within the time that callers wait for a stream to begin. Beyond it, the limit of what is too much falls with the excess, that of what is within with its square root.

One check of admission changed: a workspace at half of its share has two objectives now, one at its share has one.

--- a/modules/admission/limit/backlog_limit.cpp
+++ b/modules/admission/limit/backlog_limit.cpp
@@ -1,14 +1,20 @@
 #include "admission/limit/backlog_limit.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace quetzal {
 
 absl::Duration backlogLimit(const share_state &share, double draw, absl::Duration latencyObjective,
                             const backlog_limits &limits)
 {
-    const double fraction = fractionWithinShare(share);
-    const bool isWithinShare = draw < fraction;
-    const double reserve = limits.underShare - limits.overShare;
-    return latencyObjective * (limits.overShare + (isWithinShare ? reserve * fraction : 0.0));
+    const double shareRatio = shareOverDemand(share);
+    if (shareRatio >= 1.0)
+        return latencyObjective * std::clamp(shareRatio, limits.underShare, limits.farUnderShare);
+    const double beyondShare = limits.overShare * shareRatio;
+    if (draw >= shareRatio)
+        return latencyObjective * beyondShare;
+    return latencyObjective * std::lerp(beyondShare, limits.underShare, std::sqrt(shareRatio));
 }
 
 } // namespace quetzal
--- a/modules/admission/share/share_state.cpp
+++ b/modules/admission/share/share_state.cpp
@@ -7,11 +7,16 @@
 
 namespace quetzal {
 
-double fractionWithinShare(const share_state &share)
+double shareOverDemand(const share_state &share)
 {
     if (!share.fairShareTokens || share.requestedTokens <= 0.0)
         return 1.0;
-    return std::min(*share.fairShareTokens / share.requestedTokens, 1.0);
+    return *share.fairShareTokens / share.requestedTokens;
+}
+
+double fractionWithinShare(const share_state &share)
+{
+    return std::min(shareOverDemand(share), 1.0);
 }
 
 double shareDraw(std::string_view requestId)
--- a/modules/admission/share/share_state.h
+++ b/modules/admission/share/share_state.h
@@ -18,6 +18,12 @@
     bool operator==(const share_state &) const = default;
 };
 
+/**
+ * Returns the ratio of a workspace's fair share to what it requests; 1 while nearly all demand is
+ * served.
+ */
+double shareOverDemand(const share_state &share);
+
 /** Returns which fraction of its requests a workspace has within its fair share; at most 1. */
 double fractionWithinShare(const share_state &share);
 
--- a/tests/admission/admission_test.cpp
+++ b/tests/admission/admission_test.cpp
@@ -50,7 +50,9 @@
 {
     const backlog_limits limits;
     const absl::Duration latencyObjective = absl::Milliseconds(800);
-    const share_state under {.requestedTokens = 10.0, .fairShareTokens = 20.0};
+    const share_state under {.requestedTokens = 20.0, .fairShareTokens = 20.0};
+    const share_state farUnder {.requestedTokens = 16.0, .fairShareTokens = 20.0};
+    const share_state little {.requestedTokens = 1.0, .fairShareTokens = 20.0};
     const share_state over {.requestedTokens = 25.0, .fairShareTokens = 20.0};
     const share_state enough {.requestedTokens = 20.0, .fairShareTokens = std::nullopt};
     const double within = 0.1;
@@ -59,6 +61,8 @@
     for (const double draw : {within, beyond}) {
         CHECK(backlogLimit(under, draw, latencyObjective, limits) == latencyObjective);
         CHECK(backlogLimit(enough, draw, latencyObjective, limits) == latencyObjective);
+        CHECK(backlogLimit(farUnder, draw, latencyObjective, limits) == latencyObjective * 1.25);
+        CHECK(backlogLimit(little, draw, latencyObjective, limits) == latencyObjective * 2);
     }
     CHECK(backlogLimit(over, within, latencyObjective, limits) < latencyObjective);
     CHECK(backlogLimit(over, beyond, latencyObjective, limits)
--- a/tests/shares/large_fleet_test.cpp
+++ b/tests/shares/large_fleet_test.cpp
@@ -46,21 +46,28 @@
              .outputTokens = {.mean = 172.0, .logStdDev = 0.89, .max = 600.0}}};
 }
 
-/** A fleet in which two workspaces ask for many times their usual at the same time. */
+/** By how much two workspaces ask for more than their usual, at the same time. */
+struct overload_factors
+{
+    double greedy = 6.0;
+    double singleVm = 6.0;
+};
+
+/** A fleet in which a workspace at all VMs and one at a single VM ask for more than their usual. */
 struct overloaded_fleet
 {
-    overloaded_fleet(int vms, std::uint64_t seed)
+    overloaded_fleet(int vms, std::uint64_t seed, overload_factors factors)
         : events(absl::UnixEpoch() + absl::Hours(1))
         , invariants(invariant_limits {})
-        , fleet(events, invariants, planOf(vms, seed))
-        , callers(events, fleet, invariants, loadOf(seed))
+        , fleet(events, invariants, planOf(vms, loadOf(seed, factors)))
+        , callers(events, fleet, invariants, loadOf(seed, factors))
     {
         events.runUntil(events.now() + warmUp);
         callers.start(loadDuration);
         events.runUntil(events.now() + loadDuration);
     }
 
-    static load_plan loadOf(std::uint64_t seed)
+    static load_plan loadOf(std::uint64_t seed, overload_factors factors)
     {
         return {.classes = modelClasses(),
                 .workspaces = 30,
@@ -68,18 +75,17 @@
                 .singleVmWorkspaces = {singleVmWorkspace},
                 .changes = {{.at = overloadAt,
                              .duration = loadDuration,
-                             .factor = 6.0,
+                             .factor = factors.greedy,
                              .workspace = greedyWorkspace},
                             {.at = overloadAt,
                              .duration = loadDuration,
-                             .factor = 6.0,
+                             .factor = factors.singleVm,
                              .workspace = singleVmWorkspace}},
                 .seed = seed};
     }
 
-    static fleet_plan planOf(int vms, std::uint64_t seed)
+    static fleet_plan planOf(int vms, const load_plan &load)
     {
-        const load_plan load = loadOf(seed);
         fleet_plan plan {.dataCentres = {"a", "b", "c", "d"},
                          .vms = vms,
                          .services
@@ -92,7 +98,7 @@
                              .maxConnections = 760}},
                          .workspaces = load.workspaceNames(),
                          .tokensPerSecond = 630000.0,
-                         .seed = seed};
+                         .seed = load.seed};
         for (const class_plan &kind : load.classes)
             plan.routes.push_back(kind.toRoute());
         return plan;
@@ -117,8 +123,19 @@
 {
     const int vms = GENERATE(6, 24, 72);
     const std::uint64_t seed = GENERATE(1U, 2U);
-    overloaded_fleet fleet(vms, seed);
+    overloaded_fleet fleet(vms, seed, {});
     INFO(vms << " VMs, seed " << seed);
     for (const share_violation &violation : fleet.violations())
         FAIL_CHECK(toText(violation));
 }
+
+TEST_CASE("a workspace within its share is not starved by one that asks for many times its own",
+          "[shares]")
+{
+    constexpr int vms = 72;
+    const std::uint64_t seed = GENERATE(1U, 3U, 6U);
+    overloaded_fleet fleet(vms, seed, {.greedy = 25.0, .singleVm = 2.0});
+    INFO("seed " << seed);
+    for (const share_violation &violation : fleet.violations())
+        FAIL_CHECK(toText(violation));
+}
