A busy VM turns requests away from 40 ms of delay on

A request passes some five turns of the event loop before its answer begins, so that a delay of 200 ms makes every answer of a busy VM late, though other VMs would serve it at once.

--- a/modules/admission/processor/overload_detector.h
+++ b/modules/admission/processor/overload_detector.h
@@ -8,9 +8,9 @@
 struct overload_limits
 {
     /** The delay of the event loop up to which no request is rejected. */
-    absl::Duration minDelay = absl::Milliseconds(50);
+    absl::Duration minDelay = absl::Milliseconds(40);
     /** The delay from which on every request is rejected. */
-    absl::Duration maxDelay = absl::Milliseconds(200);
+    absl::Duration maxDelay = absl::Milliseconds(120);
 
     bool operator==(const overload_limits &) const = default;
 };
