--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -154,6 +154,9 @@
                               const request_description &description,
                               const target_candidate &chosen, const candidate_details &details,
                               absl::Time now);
+    /** Returns the rejection of a request for which there is no candidate. */
+    rejection rejectWithoutCandidate(const admitted_request &request,
+                                     const candidate_set &candidateSet, absl::Time now) const;
     /** Returns when a caller may come back to whose request no target is available. */
     absl::Duration retryAfterNoTarget(const std::string &service, absl::Time now) const;
     connection_bounds connectionBounds(const service_description &service) const;
