A request that can't begin before its deadline is rejected at once

The limit of waiting work knew the latency objective, not the time that a caller has left: a request with 50 ms left was sent to a target with 100 ms of work before it, ran until its deadline or was refused there, and its caller heard of it when it was too late to ask elsewhere. The limit is now at most the time left. The new case of forwarding failed before (the request was placed).

--- a/modules/forwarding/node/forwarding_node_placement.cpp
+++ b/modules/forwarding/node/forwarding_node_placement.cpp
@@ -177,8 +177,10 @@
     }
     const target_candidate &chosen = candidateSet.candidates[*best];
     const share_state share = m_accounts.shareOf(request.workspace, m_fleet, now);
-    const absl::Duration limit = backlogLimit(
-        share, shareDraw(description.id), request.matchedRoute->latencyObjective, m_options.limits);
+    const absl::Duration limit
+        = std::min(backlogLimit(share, shareDraw(description.id),
+                                request.matchedRoute->latencyObjective, m_options.limits),
+                   request.deadline - now);
     const bool isAccepted = chosen.backlog <= limit;
     if (isCounted)
         m_accounts.onDecided(request.workspace, costInTokens(description), isAccepted, now);
--- a/tests/forwarding/forwarding_node_test.cpp
+++ b/tests/forwarding/forwarding_node_test.cpp
@@ -338,6 +338,22 @@
     }
 }
 
+TEST_CASE("a request that can't begin before its deadline is rejected at once", "[forwarding]")
+{
+    router router;
+    for (std::uint64_t request = 0; request < 6; ++request)
+        router.place(chat("a", "key1", 100 + request, 8000), start);
+    request_description late = chat("b", "key1", 7, 100);
+    const auto whole = std::get<placement>(router.place(late, start));
+    REQUIRE(whole.backlog > absl::Milliseconds(50));
+
+    late.callerTimeout = whole.backlog / 2;
+    const auto decision = router.place(late, start);
+    REQUIRE(std::holds_alternative<rejection>(decision));
+    CHECK(std::get<rejection>(decision).status == 503);
+    CHECK(std::get<rejection>(decision).retryAfter.has_value());
+}
+
 TEST_CASE("requests of other routers count in the choice of a target", "[forwarding]")
 {
     router first("vm1", {"vm1", "vm2"});
