--- a/apps/edge/listener.h
+++ b/apps/edge/listener.h
@@ -15,6 +15,7 @@
 {
 public:
     using callback = std::function<void(boost::asio::ip::tcp::socket)>;
+    /** Receives the cause. */
     using failure_callback = std::function<void(const boost::system::error_code &)>;
 
     /**
--- a/apps/edge/loop_monitor.h
+++ b/apps/edge/loop_monitor.h
@@ -15,6 +15,7 @@
 class loop_monitor
 {
 public:
+    /** The time between two measurements. */
     static constexpr absl::Duration interval = absl::Milliseconds(50);
 
     /** Receives each measured delay and the present time; the next one is due an interval later. */
--- a/standins/platform/platform_engine.cpp
+++ b/standins/platform/platform_engine.cpp
@@ -37,6 +37,12 @@
     return "id: " + std::to_string(number) + "\ndata: piece" + std::to_string(number) + "\n\n";
 }
 
+/** Returns a refusal with these additional header fields. */
+std::string refusalText(const std::string &fields)
+{
+    return "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + fields + "Content-Length: 0\r\n\r\n";
+}
+
 } // namespace
 
 platform_engine::platform_engine(std::string id, const std::string &ip)
@@ -134,29 +140,29 @@
     return m_arrivals.size() - 1;
 }
 
+std::optional<std::string> platform_engine::refusalOf(const header_fields &fields,
+                                                      const std::string &behaviour,
+                                                      const std::string &idField) const
+{
+    if (fields.valueOf("X-Expect-Instance") != m_id)
+        return "HTTP/1.1 421 Misdirected Request\r\n" + idField + "Content-Length: 0\r\n\r\n";
+    if (behaviour == "refuse")
+        return refusalText(idField);
+    if (behaviour == "refuse-for-a-second")
+        return refusalText("Retry-After: 1.0\r\n" + idField);
+    if (behaviour == "leave-refusing")
+        return refusalText("Server-Leaving: 1\r\n" + idField);
+    return std::nullopt;
+}
+
 bool platform_engine::answer(tcp::socket &socket, const request_reader &request)
 {
     const header_fields &fields = request.head().fields;
     const std::string behaviour(fields.valueOf("X-Test-Do"));
     const std::string id = "X-Attempt-Id: " + std::string(fields.valueOf("X-Attempt-Id")) + "\r\n";
-    if (fields.valueOf("X-Expect-Instance") != m_id) {
+    if (const auto refusal = refusalOf(fields, behaviour, id)) {
         recordArrival(request, false);
-        write(socket, "HTTP/1.1 421 Misdirected Request\r\n" + id + "Content-Length: 0\r\n\r\n");
-        return true;
-    }
-    if (behaviour == "refuse") {
-        recordArrival(request, false);
-        write(socket,
-              "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + id + "Content-Length: 0\r\n\r\n");
-        return true;
-    }
-    if (behaviour == "refuse-for-a-second" || behaviour == "leave-refusing") {
-        recordArrival(request, false);
-        const std::string notice
-            = behaviour == "leave-refusing" ? "Server-Leaving: 1\r\n" : "Retry-After: 1.0\r\n";
-        write(socket,
-              "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + notice + id
-                  + "Content-Length: 0\r\n\r\n");
+        write(socket, *refusal);
         return true;
     }
     const std::size_t arrival = recordArrival(request, true);
@@ -177,11 +183,7 @@
         return false;
     }
     if (behaviour.starts_with("stale-refusal")) {
-        const std::string earlierId
-            = behaviour == "stale-refusal" ? "X-Attempt-Id: earlier\r\n" : "";
-        write(socket,
-              "HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\n" + earlierId
-                  + "Content-Length: 0\r\n\r\n");
+        write(socket, refusalText(behaviour == "stale-refusal" ? "X-Attempt-Id: earlier\r\n" : ""));
         std::this_thread::sleep_for(slowAnswerStep);
         write(socket, fullResponse);
         return true;
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -73,6 +74,9 @@
 
     void accept();
     void serve(boost::asio::ip::tcp::socket socket);
+    /** Returns the refusal of a request that is not executed; nothing if it is. */
+    std::optional<std::string> refusalOf(const header_fields &fields, const std::string &behaviour,
+                                         const std::string &idField) const;
     /** Answers one request; returns false if the connection must be closed. */
     bool answer(boost::asio::ip::tcp::socket &socket, const request_reader &request);
     /** Writes until the caller closes the connection. */
