What a busy VM turns away counts where its caller asks next

Cause: a request that the VM turned away counted as demand of its workspace, and its caller's next one at another VM did so again. The workspace seemed to ask for several times what reached a place where a target could be chosen; its fraction within the share (owed over asked) fell with it, and its repeats, the only requests that other VMs could serve, were rejected as beyond a share of which it had a fifth: 1.0 million tokens served, 4.8 owed, 33 asked at 20 s.

Change: turning away for want of processor time no longer counts as demand.

Result: the new case of request_lifecycle failed before.

--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -112,14 +112,11 @@
                              .deadline = deadline};
 }
 
-std::optional<rejection> forwarding_node::rejectIfOverloaded(const admitted_request &request,
-                                                             const request_description &description,
-                                                             absl::Time now)
+std::optional<rejection> forwarding_node::rejectIfOverloaded(const request_description &description,
+                                                             absl::Time now) const
 {
     if (shareDraw(description.id) < 1.0 - m_overload.rejectedFraction(now))
         return std::nullopt;
-    if (!description.prompt.empty())
-        m_accounts.onDecided(request.workspace, costInTokens(description), false, now);
     return rejection {.status = statusUnavailable,
                       .code = result_code::RouterOverloaded,
                       .retryAfter = retryAfterOverloaded};
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -64,10 +64,12 @@
     {
         m_overload.onLoopDelay(delay, nextDueAt);
     }
-    /** Returns the rejection of a request that this router has no processor time for. */
-    std::optional<rejection> rejectIfOverloaded(const admitted_request &request,
-                                                const request_description &description,
-                                                absl::Time now);
+    /**
+     * Returns the rejection of a request that this router has no processor time for. It does not
+     * count towards the demand of its workspace: that router does which the caller asks next.
+     */
+    std::optional<rejection> rejectIfOverloaded(const request_description &description,
+                                                absl::Time now) const;
     /** Counts an admitted request towards the retry budget. */
     void onAdmitted(const admitted_request &request, absl::Time now);
     /**
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -425,3 +425,23 @@
         CHECK(testRouter.node.directory().mayReceive(first, start));
     }
 }
+
+TEST_CASE("a request that a busy router turns away counts only where its caller asks next",
+          "[life]")
+{
+    router testRouter;
+    request_lifecycle request(testRouter.node, 1,
+                              {.id = "r",
+                               .method = "POST",
+                               .host = "h",
+                               .path = "/once/x",
+                               .prompt = {{.id = 7, .tokens = 400}, {.id = 8, .tokens = 100}}},
+                              start);
+    testRouter.node.onLoopDelay(absl::Seconds(1), start + absl::Milliseconds(50));
+    const request_actions actions = request.start(false, start);
+    CHECK(ownStatus(actions) == 503);
+    REQUIRE(find<answer_locally>(actions) != nullptr);
+    CHECK(find<answer_locally>(actions)->reason.code == result_code::RouterOverloaded);
+    CHECK(find<answer_locally>(actions)->reason.retryAfter <= absl::Milliseconds(100));
+    CHECK(testRouter.node.makeDigest({}, start).workspaces.empty());
+}
