--- a/apps/edge/loop_monitor.h
+++ b/apps/edge/loop_monitor.h
@@ -18,7 +18,7 @@
     /** The time between two measurements. */
     static constexpr absl::Duration interval = absl::Milliseconds(50);
 
-    /** Receives each measured delay and the present time; the next one is due an interval later. */
+    /** Receives each delay and the present time; the next one is due an interval later. */
     using callback = std::function<void(absl::Duration delay, absl::Time now)>;
 
     loop_monitor(boost::asio::io_context &loop, callback onMeasured);
