edge log: whole lines reach the reader, and the end of a request names workspace and tokens

A request that was turned away for want of processor time had no workspace in its line. Change: the log is written in pieces of 4 KiB; request_ended has workspace and tokens. No decision changes.

--- a/apps/edge/event_log.cpp
+++ b/apps/edge/event_log.cpp
@@ -2,6 +2,7 @@
 
 #include "apps/edge/edge_clock.h"
 
+#include <algorithm>
 #include <chrono>
 #include <fcntl.h>
 #include <unistd.h>
@@ -13,6 +14,8 @@
 
 constexpr std::size_t maxBufferedBytes = std::size_t {256} * 1024;
 constexpr std::chrono::milliseconds flushInterval {250};
+/** The bytes of one write; readers of the output take no more of it. */
+constexpr std::size_t maxBytesPerWrite = 4096;
 constexpr unsigned char firstPrintable = 0x20;
 constexpr unsigned char firstNonAscii = 0x7f;
 
@@ -110,9 +113,15 @@
         const std::uint64_t dropped = std::exchange(m_droppedReported, m_dropped);
         line("log_lines_dropped").number("total", static_cast<std::int64_t>(m_dropped - dropped));
     }
-    const ssize_t written = ::write(STDOUT_FILENO, m_buffer.data(), m_buffer.size());
-    if (written > 0)
-        m_buffer.erase(0, static_cast<std::size_t>(written));
+    std::size_t offset = 0;
+    while (offset < m_buffer.size()) {
+        const std::size_t count = std::min(m_buffer.size() - offset, maxBytesPerWrite);
+        const ssize_t written = ::write(STDOUT_FILENO, m_buffer.data() + offset, count);
+        if (written <= 0)
+            break;
+        offset += static_cast<std::size_t>(written);
+    }
+    m_buffer.erase(0, offset);
     if (!m_buffer.empty())
         scheduleFlush();
 }
--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -52,6 +52,8 @@
     m_lifecycle.emplace(m_context.node, m_context.nextRequest++, *std::move(description),
                         m_arrivedAt);
     const request_actions actions = m_lifecycle->start(m_context.isRejectingRequests, now);
+    if (const auto &admitted = m_lifecycle->admitted())
+        m_log.setDemand(admitted->workspace, costInTokens(m_lifecycle->description()));
     if (m_lifecycle->admitted() && !m_lifecycle->isFinished())
         startDeadlineTimer(now);
     performActions(actions);
--- a/apps/edge/request_log.h
+++ b/apps/edge/request_log.h
@@ -18,6 +18,12 @@
 
     /** Sets the identifier that is written to every line. */
     void setRequestId(std::string requestId) { m_requestId = std::move(requestId); }
+    /** Sets the workspace and the size of an admitted request, for the line of its end. */
+    void setDemand(std::string workspace, std::int64_t tokens)
+    {
+        m_workspace = std::move(workspace);
+        m_tokens = tokens;
+    }
     /** Logs and counts an attempt that is about to be sent. */
     void sent(const admitted_request &request, const placement &destination, absl::Time now);
     /** Records the time to the first byte of the answer. */
@@ -36,6 +42,8 @@
 
     edge_context &m_context;
     std::string m_requestId;
+    std::string m_workspace;
+    std::int64_t m_tokens = 0;
     absl::Time m_arrivedAt;
     /** The age of the request at the first byte of an answer; -1 if there was none. */
     std::int64_t m_answerBeganMs = -1;
