edge log: whole batches, workspace of each end, activity of the loop

Lines with 2010 named no workspace, and nothing told how much a VM reads, sends and turns away.

A line "activity" each 500 ms with requests sums what the process did, with the least and the greatest delay of the event loop.

--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -190,9 +190,13 @@
     }
     m_keepAlive = m_reader->head().keepAlive;
     m_timer.cancel();
-    m_context.metrics.onRequest();
-    m_handler = std::make_shared<request_handler>(m_context, weak_from_this(), m_reader->head(),
-                                                  m_reader->body(), m_firstByteAt);
+    m_context.metrics.onRequest(m_reader->body().size());
+    m_handler = std::make_shared<request_handler>(
+        m_context, weak_from_this(), m_reader->head(), m_reader->body(),
+        request_arrival {.firstByteAt = m_firstByteAt,
+                         .quietTime = m_firstByteAt - m_idleSince,
+                         .ordinal = ++m_requestCount,
+                         .bodyBytes = m_reader->body().size()});
     m_reader.reset();
     const auto handler = m_handler;
     handler->start();
--- a/apps/edge/caller_connection.h
+++ b/apps/edge/caller_connection.h
@@ -79,6 +79,7 @@
     std::function<void()> m_onClosed;
     absl::Time m_idleSince;
     absl::Time m_firstByteAt = absl::InfinitePast();
+    int m_requestCount = 0;
     std::size_t m_heldBytes = 0;
     bool m_keepAlive = true;
     bool m_isReading = false;
--- a/apps/edge/edge_metrics.cpp
+++ b/apps/edge/edge_metrics.cpp
@@ -1,5 +1,9 @@
 #include "apps/edge/edge_metrics.h"
 
+#include "foundation/errors/result_code.h"
+
+#include <algorithm>
+
 namespace quetzal {
 
 namespace {
@@ -33,6 +37,20 @@
 {
 }
 
+void edge_metrics::onLoopDelay(absl::Duration delay)
+{
+    m_loopDelay.record(delay);
+    m_activity.minDelay = std::min(m_activity.minDelay, delay);
+    m_activity.maxDelay = std::max(m_activity.maxDelay, delay);
+}
+
+void edge_metrics::onRequest(std::size_t bodyBytes)
+{
+    m_requests.add();
+    ++m_activity.requests;
+    m_activity.bodyBytes += static_cast<std::int64_t>(bodyBytes);
+}
+
 void edge_metrics::onAttemptFailed(const std::string &name)
 {
     m_registry
@@ -51,6 +69,8 @@
 
 void edge_metrics::onEnd(const std::string &outcome, int code, absl::Duration time)
 {
+    if (code == static_cast<int>(result_code::RouterOverloaded))
+        ++m_activity.turnedAway;
     m_registry
         .counterFor("quetzal_edge_ended_total", "Requests that are over, by result.",
                     {{"outcome", outcome}, {"code", std::to_string(code)}})
--- a/apps/edge/edge_metrics.h
+++ b/apps/edge/edge_metrics.h
@@ -8,9 +8,24 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace quetzal {
 
+/** What one edge process did in a span of time. */
+struct edge_activity
+{
+    std::int64_t connections = 0;
+    std::int64_t requests = 0;
+    std::int64_t bodyBytes = 0;
+    std::int64_t sends = 0;
+    std::int64_t turnedAway = 0;
+    std::int64_t callersGone = 0;
+    /** The least and the greatest delay of the event loop. */
+    absl::Duration minDelay = absl::InfiniteDuration();
+    absl::Duration maxDelay = absl::ZeroDuration();
+};
+
 /** Counters, gauges and latency histograms of one edge process. */
 class edge_metrics
 {
@@ -18,17 +33,29 @@
     edge_metrics();
 
     /** Counts an accepted connection. */
-    void onConnection() { m_connections.add(); }
+    void onConnection()
+    {
+        m_connections.add();
+        ++m_activity.connections;
+    }
     /** Counts a failure to accept a connection. */
     void onAcceptFailed() { m_acceptFailures.add(); }
     /** Counts a caller that disconnected before its request was started. */
-    void onCallerGone() { m_callersGone.add(); }
+    void onCallerGone()
+    {
+        m_callersGone.add();
+        ++m_activity.callersGone;
+    }
     /** Records how late the event loop ran a timer. */
-    void onLoopDelay(absl::Duration delay) { m_loopDelay.record(delay); }
+    void onLoopDelay(absl::Duration delay);
     /** Counts a completely received request. */
-    void onRequest() { m_requests.add(); }
+    void onRequest(std::size_t bodyBytes);
     /** Counts an attempt. */
-    void onSend() { m_sends.add(); }
+    void onSend()
+    {
+        m_sends.add();
+        ++m_activity.sends;
+    }
     /** Counts an attempt that yielded no answer for the caller. @param name kind of failure */
     void onAttemptFailed(const std::string &name);
     /** Records the time from the arrival of a request to the first byte of its answer. */
@@ -38,6 +65,8 @@
     /** Sets a gauge; called for each gauge before the metrics are rendered. */
     void set(const std::string &name, const std::string &help, std::int64_t value);
 
+    /** Returns what happened since the last call. */
+    edge_activity takeActivity() { return std::exchange(m_activity, {}); }
     /** Returns all metrics in the Prometheus text format. */
     std::string text() const { return m_registry.text(); }
 
@@ -49,6 +78,7 @@
     latency_histogram &m_loopDelay;
     counter &m_requests;
     counter &m_sends;
+    edge_activity m_activity;
 };
 
 } // namespace quetzal
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -21,6 +21,8 @@
 /** Delays of the event loop that are logged, and how often at most. */
 constexpr absl::Duration loggedLoopDelay = absl::Milliseconds(100);
 constexpr absl::Duration loopDelayLogInterval = absl::Milliseconds(500);
+/** The time that one line on the event loop's activity covers. */
+constexpr absl::Duration activityLogInterval = absl::Milliseconds(500);
 constexpr int statusUnavailable = 503;
 constexpr int statusOk = 200;
 /** Time during which new requests are still accepted after a shutdown has begun. */
@@ -164,6 +166,8 @@
 {
     m_metrics.onLoopDelay(delay);
     m_node.onLoopDelay(delay, now + loop_monitor::interval);
+    if (now >= m_activityLoggedAt + activityLogInterval)
+        logActivity(now);
     if (delay < loggedLoopDelay || now < m_loopDelayLoggedAt + loopDelayLogInterval)
         return;
     m_loopDelayLoggedAt = now;
@@ -172,6 +176,28 @@
         .number("open", static_cast<std::int64_t>(m_connections.size()));
 }
 
+void edge_process::logActivity(absl::Time now)
+{
+    const edge_activity done = m_metrics.takeActivity();
+    const absl::Duration covered = now - std::exchange(m_activityLoggedAt, now);
+    const std::int64_t datagrams = m_peers.receivedCount();
+    const std::int64_t heard = datagrams - std::exchange(m_datagramsLogged, datagrams);
+    if (done.requests + done.callersGone == 0)
+        return;
+    m_log.line("activity")
+        .number("coveredMs", absl::ToInt64Milliseconds(covered))
+        .number("connections", done.connections)
+        .number("requests", done.requests)
+        .number("bodyBytes", done.bodyBytes)
+        .number("sends", done.sends)
+        .number("turnedAway", done.turnedAway)
+        .number("callersGone", done.callersGone)
+        .number("minDelayMs", absl::ToInt64Milliseconds(done.minDelay))
+        .number("maxDelayMs", absl::ToInt64Milliseconds(done.maxDelay))
+        .number("datagrams", heard)
+        .number("open", static_cast<std::int64_t>(m_connections.size()));
+}
+
 void edge_process::closeLongestIdle()
 {
     std::vector<std::shared_ptr<caller_connection>> idle;
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -44,6 +44,8 @@
     /** Returns a callback that logs and counts failures to accept connections. */
     listener::failure_callback makeAcceptFailureCallback(std::string purpose);
     void onLoopDelay(absl::Duration delay, absl::Time now);
+    /** Logs what the process did since the last such line, unless there was no request. */
+    void logActivity(absl::Time now);
     void closeLongestIdle();
     void waitForSignal();
     void reload(std::string_view cause);
@@ -74,6 +76,8 @@
     store_feed m_feed;
     loop_monitor m_loopMonitor;
     absl::Time m_loopDelayLoggedAt = absl::InfinitePast();
+    absl::Time m_activityLoggedAt = absl::InfinitePast();
+    std::int64_t m_datagramsLogged = 0;
     listener m_callerListener;
     listener m_readinessListener;
     listener m_metricsListener;
--- a/apps/edge/event_log.cpp
+++ b/apps/edge/event_log.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr std::size_t maxBufferedBytes = std::size_t {256} * 1024;
+/** Readers may keep only the beginning of a longer write. */
+constexpr std::size_t maxWriteBytes = 4096;
 constexpr std::chrono::milliseconds flushInterval {250};
 constexpr unsigned char firstPrintable = 0x20;
 constexpr unsigned char firstNonAscii = 0x7f;
@@ -31,6 +33,15 @@
     line += '"';
 }
 
+/** Returns the length of the whole lines at the start of a text that fit into one write. */
+std::size_t nextWrite(std::string_view text)
+{
+    if (text.size() <= maxWriteBytes)
+        return text.size();
+    const std::size_t lineEnd = text.rfind('\n', maxWriteBytes - 1);
+    return lineEnd == std::string_view::npos ? maxWriteBytes : lineEnd + 1;
+}
+
 } // namespace
 
 event_line::event_line(event_log &log, std::string_view event)
@@ -110,9 +121,15 @@
         const std::uint64_t dropped = std::exchange(m_droppedReported, m_dropped);
         line("log_lines_dropped").number("total", static_cast<std::int64_t>(m_dropped - dropped));
     }
-    const ssize_t written = ::write(STDOUT_FILENO, m_buffer.data(), m_buffer.size());
-    if (written > 0)
-        m_buffer.erase(0, static_cast<std::size_t>(written));
+    std::size_t done = 0;
+    while (done < m_buffer.size()) {
+        const std::size_t count = nextWrite(std::string_view(m_buffer).substr(done));
+        const ssize_t written = ::write(STDOUT_FILENO, m_buffer.data() + done, count);
+        if (written <= 0)
+            break;
+        done += static_cast<std::size_t>(written);
+    }
+    m_buffer.erase(0, done);
     if (!m_buffer.empty())
         scheduleFlush();
 }
--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -26,14 +26,14 @@
 } // namespace
 
 request_handler::request_handler(edge_context &context, std::weak_ptr<caller_connection> caller,
-                                 request_head head, std::string body, absl::Time arrivedAt)
+                                 request_head head, std::string body, request_arrival arrival)
     : m_context(context)
     , m_caller(std::move(caller))
-    , m_log(context, arrivedAt)
+    , m_log(context, arrival)
     , m_timer(context.loop)
     , m_head(std::move(head))
     , m_body(std::move(body))
-    , m_arrivedAt(arrivedAt)
+    , m_arrivedAt(arrival.firstByteAt)
 {
 }
 
@@ -48,7 +48,7 @@
         return;
     }
     const absl::Time now = edgeNow();
-    m_log.setRequestId(description->id);
+    m_log.setDescription(*description);
     m_lifecycle.emplace(m_context.node, m_context.nextRequest++, *std::move(description),
                         m_arrivedAt);
     const request_actions actions = m_lifecycle->start(m_context.isRejectingRequests, now);
@@ -253,7 +253,8 @@
     m_timer.cancel();
     if (action.overload)
         m_log.overloaded(*m_lifecycle->admitted(), *action.overload, now);
-    m_log.ended(action, now);
+    const bool isAdmitted = m_lifecycle && m_lifecycle->admitted();
+    m_log.ended(isAdmitted ? &*m_lifecycle->admitted() : nullptr, action, now);
 }
 
 } // namespace quetzal
--- a/apps/edge/request_handler.h
+++ b/apps/edge/request_handler.h
@@ -22,7 +22,7 @@
 {
 public:
     request_handler(edge_context &context, std::weak_ptr<caller_connection> caller,
-                    request_head head, std::string body, absl::Time arrivedAt);
+                    request_head head, std::string body, request_arrival arrival);
 
     /** Starts forwarding the request, or rejects it. */
     void start();
--- a/apps/edge/request_log.cpp
+++ b/apps/edge/request_log.cpp
@@ -12,15 +12,21 @@
 
 } // namespace
 
-request_log::request_log(edge_context &context, absl::Time arrivedAt)
+request_log::request_log(edge_context &context, const request_arrival &arrival)
     : m_context(context)
-    , m_arrivedAt(arrivedAt)
+    , m_arrival(arrival)
 {
 }
 
+void request_log::setDescription(const request_description &description)
+{
+    m_requestId = description.id;
+    m_tokens = costInTokens(description);
+}
+
 std::int64_t request_log::ageMs(absl::Time now) const
 {
-    return absl::ToInt64Milliseconds(now - m_arrivedAt);
+    return absl::ToInt64Milliseconds(now - m_arrival.firstByteAt);
 }
 
 void request_log::sent(const admitted_request &request, const placement &destination,
@@ -52,7 +58,7 @@
 void request_log::answerBegan(request_kind kind, absl::Time now)
 {
     m_answerBeganMs = ageMs(now);
-    m_context.metrics.onFirstByte(kind, now - m_arrivedAt);
+    m_context.metrics.onFirstByte(kind, now - m_arrival.firstByteAt);
 }
 
 void request_log::answerMismatched(std::string_view target, std::string_view answeredId, int status)
@@ -95,13 +101,20 @@
                 static_cast<std::int64_t>(m_context.node.fleet().activePeerCount(now)));
 }
 
-void request_log::ended(const record_request_ended &end, absl::Time now)
+void request_log::ended(const admitted_request *request, const record_request_ended &end,
+                        absl::Time now)
 {
     const int code = static_cast<int>(end.code);
     const auto &table = m_context.node.routes();
-    m_context.metrics.onEnd(std::string(end.outcome), code, now - m_arrivedAt);
+    m_context.metrics.onEnd(std::string(end.outcome), code, now - m_arrival.firstByteAt);
     m_context.log.line("request_ended")
         .text("request", m_requestId)
+        .text("route", request ? request->matchedRoute->name : std::string())
+        .text("workspace", request ? request->workspace : std::string())
+        .number("tokens", m_tokens)
+        .number("bodyBytes", static_cast<std::int64_t>(m_arrival.bodyBytes))
+        .number("ordinal", m_arrival.ordinal)
+        .number("quietMs", absl::ToInt64Milliseconds(m_arrival.quietTime))
         .number("configuration", table ? table->version() : 0)
         .text("outcome", end.outcome)
         .number("status", end.status)
