--- a/bench/emulator/caller/caller_population.cpp
+++ b/bench/emulator/caller/caller_population.cpp
@@ -137,6 +137,8 @@
                                       .callerTimeout = kind.deadline};
     operation->request.isStream = kind.kind == request_kind::Stream;
     operation->request.alwaysFails = m_random.isTrue(kind.alwaysFailingFraction);
+    if (kind.bodyBytes.mean > 0.0)
+        operation->request.bodyBytes = static_cast<std::int64_t>(m_random.size(kind.bodyBytes));
     if (!kind.isModelRequest()) {
         operation->request.work = absl::Milliseconds(m_random.size(kind.workMs));
         return operation;
@@ -158,7 +160,8 @@
 {
     const auto &single = m_plan.singleVmWorkspaces;
     const bool isRetry = operation.attempts > 1;
-    if (!isRetry && std::find(single.begin(), single.end(), operation.workspace) != single.end())
+    if ((!isRetry || m_plan.singleVmRepeats)
+        && std::find(single.begin(), single.end(), operation.workspace) != single.end())
         return operation.workspace % m_failedHealthChecks.size();
     std::vector<std::size_t> own;
     std::vector<std::size_t> all;
--- a/bench/emulator/caller/load_plan.h
+++ b/bench/emulator/caller/load_plan.h
@@ -57,6 +57,7 @@
     size_distribution ownTokens;
     size_distribution outputTokens;
     size_distribution workMs;
+    size_distribution bodyBytes;
     /** Fraction of the requests that every target fails. */
     double alwaysFailingFraction = 0.0;
 
@@ -85,6 +86,8 @@
     double workspaceSkew = 1.0;
     /** Indexes of the workspaces whose callers all connect to the same VM, one for each. */
     std::vector<std::size_t> singleVmWorkspaces;
+    /** True if repeats of these callers connect to that VM as well, false if to any. */
+    bool singleVmRepeats = false;
     /** Fraction of the requests whose callers close the connection early. */
     double abandoningFraction = 0.0;
     std::vector<load_change> changes;
--- a/bench/emulator/router/caller_messages.h
+++ b/bench/emulator/router/caller_messages.h
@@ -16,6 +16,7 @@
     request_description description;
     std::int64_t outputTokens = 0;
     absl::Duration work;
+    std::int64_t bodyBytes = 0;
     bool isStream = false;
     bool alwaysFails = false;
 };
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -15,6 +15,8 @@
 constexpr absl::Duration unacknowledgedTimeout = absl::Milliseconds(1500);
 /** Time after the start of a shutdown during which new requests are still accepted. */
 constexpr absl::Duration acceptGracePeriod = absl::Milliseconds(2800);
+/** Bytes of a body that one turn of the event loop reads at most. */
+constexpr std::int64_t bytesPerRead = 8192;
 constexpr absl::Duration loopDelayInterval = absl::Milliseconds(50);
 
 } // namespace
@@ -29,7 +31,7 @@
 {
     if (m_options.processor)
         m_processor
-            = std::make_unique<emulated_processor>(m_network.events(), m_options.processor->share);
+            = std::make_unique<emulated_processor>(m_network.events(), *m_options.processor);
     std::size_t index = 0;
     for (const char *prefix : {configurationPrefix, targetPrefix, memberPrefix}) {
         m_mirrors.push_back(std::make_unique<emulated_mirror>(m_network.events(), m_store, vm(),
@@ -223,7 +225,7 @@
             const std::uint64_t number = m_acceptQueue.front();
             m_acceptQueue.pop_front();
             used += m_options.processor->acceptedConnection;
-            m_processor->post([this, number] { return readRequest(number); });
+            readPart(number, bodyPartsOf(number));
         }
         m_isAccepting = false;
         acceptConnections();
@@ -231,12 +233,33 @@
     });
 }
 
+std::int64_t emulated_router::bodyPartsOf(std::uint64_t number) const
+{
+    const auto found = m_requests.find(number);
+    const std::int64_t bytes = found == m_requests.end() ? 0 : found->second.request.bodyBytes;
+    return (bytes + bytesPerRead - 1) / bytesPerRead;
+}
+
+void emulated_router::readPart(std::uint64_t number, std::int64_t partsLeft)
+{
+    m_processor->post([this, number, partsLeft] {
+        const absl::Duration used = partsLeft > 0 && m_requests.contains(number)
+            ? m_options.processor->readPart
+            : absl::ZeroDuration();
+        if (partsLeft <= 1)
+            return used + readRequest(number);
+        readPart(number, partsLeft - 1);
+        return used;
+    });
+}
+
 absl::Duration emulated_router::readRequest(std::uint64_t number)
 {
     const auto found = m_requests.find(number);
     if (!m_isUp || found == m_requests.end())
         return absl::ZeroDuration();
     found->second.isRead = true;
+    const std::int64_t bodyParts = bodyPartsOf(number);
     request_lifecycle &lifecycle = *found->second.lifecycle;
     const absl::Time now = m_network.events().now();
     const request_actions actions = lifecycle.start(m_isRejectingRequests, now);
@@ -251,7 +274,9 @@
     perform(number, actions);
     if (!m_options.processor)
         return absl::ZeroDuration();
-    return isSent ? m_options.processor->sentRequest : m_options.processor->rejectedRequest;
+    if (!isSent)
+        return m_options.processor->rejectedRequest;
+    return m_options.processor->sentRequest + bodyParts * m_options.processor->sentPart;
 }
 
 void emulated_router::runEvent(absl::Duration processorTime, std::function<void()> event)
@@ -327,6 +352,7 @@
         perform(number, record.lifecycle->onNoConnection(now));
         return;
     }
+    ++m_sentRequests;
     record.isNewConnection = idle == 0;
     idle = std::max(idle - 1, 0);
     open += record.isNewConnection ? 1 : 0;
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -72,6 +72,8 @@
     /** Returns the number of requests in progress. */
     std::size_t openRequests() const { return m_requests.size(); }
 
+    /** Returns the number of sends to targets since the start of the process. */
+    std::int64_t sentRequests() const { return m_sentRequests; }
     /** Returns the number of connections that are open to a target. */
     int openConnections(const network_address &address) const;
     /** True if the connection of a request was not accepted, or the request not read yet. */
@@ -128,6 +130,10 @@
     void measureLoopDelay();
     /** Accepts waiting connections, as many as one turn of the event loop does. */
     void acceptConnections();
+    /** Returns the number of turns of the event loop that reading a request's body takes. */
+    std::int64_t bodyPartsOf(std::uint64_t number) const;
+    /** Reads the next part of a request's body, in a turn for each, and then the request. */
+    void readPart(std::uint64_t number, std::int64_t partsLeft);
     /** Reads a request and decides on it; returns the processor time that this took. */
     absl::Duration readRequest(std::uint64_t number);
     /** Runs an event after those before it if events take processor time, otherwise now. */
@@ -154,6 +160,7 @@
     bool m_isAccepting = false;
     absl::btree_map<std::uint64_t, request_record> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
+    std::int64_t m_sentRequests = 0;
     absl::btree_map<network_address, int> m_idleConnections;
     absl::btree_map<network_address, int> m_openConnections;
     std::vector<std::function<void()>> m_deferred;
