edge log: the last line of a request names its workspace and tokens

Cause: a request that is turned away for want of processor time, fails or is left by its caller had no line with its workspace, so that the log did not tell what a workspace asked for and which gate turned it away. Change: request_ended has workspace and tokens (0 for plain requests).

--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -48,7 +48,7 @@
         return;
     }
     const absl::Time now = edgeNow();
-    m_log.setRequestId(description->id);
+    m_log.setRequest(*description);
     m_lifecycle.emplace(m_context.node, m_context.nextRequest++, *std::move(description),
                         m_arrivedAt);
     const request_actions actions = m_lifecycle->start(m_context.isRejectingRequests, now);
@@ -253,7 +253,8 @@
     m_timer.cancel();
     if (action.overload)
         m_log.overloaded(*m_lifecycle->admitted(), *action.overload, now);
-    m_log.ended(action, now);
+    const bool isAdmitted = m_lifecycle && m_lifecycle->admitted();
+    m_log.ended(action, isAdmitted ? m_lifecycle->admitted()->workspace : std::string(), now);
 }
 
 } // namespace quetzal
--- a/apps/edge/request_log.cpp
+++ b/apps/edge/request_log.cpp
@@ -18,6 +18,12 @@
 {
 }
 
+void request_log::setRequest(const request_description &request)
+{
+    m_requestId = request.id;
+    m_tokens = request.prompt.empty() ? 0 : costInTokens(request);
+}
+
 std::int64_t request_log::ageMs(absl::Time now) const
 {
     return absl::ToInt64Milliseconds(now - m_arrivedAt);
@@ -95,13 +101,15 @@
                 static_cast<std::int64_t>(m_context.node.fleet().activePeerCount(now)));
 }
 
-void request_log::ended(const record_request_ended &end, absl::Time now)
+void request_log::ended(const record_request_ended &end, std::string_view workspace, absl::Time now)
 {
     const int code = static_cast<int>(end.code);
     const auto &table = m_context.node.routes();
     m_context.metrics.onEnd(std::string(end.outcome), code, now - m_arrivedAt);
     m_context.log.line("request_ended")
         .text("request", m_requestId)
+        .text("workspace", workspace)
+        .number("tokens", m_tokens)
         .number("configuration", table ? table->version() : 0)
         .text("outcome", end.outcome)
         .number("status", end.status)
--- a/apps/edge/request_log.h
+++ b/apps/edge/request_log.h
@@ -16,8 +16,8 @@
 public:
     request_log(edge_context &context, absl::Time arrivedAt);
 
-    /** Sets the identifier that is written to every line. */
-    void setRequestId(std::string requestId) { m_requestId = std::move(requestId); }
+    /** Sets what is written of a request: its identifier to every line, its tokens to the last. */
+    void setRequest(const request_description &request);
     /** Logs and counts an attempt that is about to be sent. */
     void sent(const admitted_request &request, const placement &destination, absl::Time now);
     /** Records the time to the first byte of the answer. */
@@ -28,14 +28,16 @@
     void attemptFailed(const record_attempt_failed &failed, absl::Time now);
     /** Logs the values that led to a rejection for overload. */
     void overloaded(const admitted_request &request, const overload_cause &cause, absl::Time now);
-    /** Logs and counts the end of the request. */
-    void ended(const record_request_ended &end, absl::Time now);
+    /** Logs and counts the end of the request. @param workspace empty if it is not known */
+    void ended(const record_request_ended &end, std::string_view workspace, absl::Time now);
 
 private:
     std::int64_t ageMs(absl::Time now) const;
 
     edge_context &m_context;
     std::string m_requestId;
+    /** The tokens that the request counts for; 0 for plain requests. */
+    std::int64_t m_tokens = 0;
     absl::Time m_arrivedAt;
     /** The age of the request at the first byte of an answer; -1 if there was none. */
     std::int64_t m_answerBeganMs = -1;
