A VM with more callers than its processor can serve goes on serving what it can

Cause: turning a request away costs 0.27 to 0.30 of serving it, since it is read whole first; by the delay of the event loop all are turned away once that alone fills the processor, which keeps the delay long. The callers come back to the same VM at once. Change: each turn of the event loop takes a number of new connections by the VM's share of a processor (limits.cpuQuota and cores), others are answered 503 unread; requests on open connections are limited the same way. overload_detector is gone: no delay is measured for a decision any more. Retry-After is 100 ms instead of 20, since the callers of one VM come back to it. The checks of overload_detector in tests/admission are replaced by those of turn_limiter, as strict: a rising fraction was the fault itself. In forwarding the limit is used up instead of a delay reported.

--- a/apps/edge/edge_context.h
+++ b/apps/edge/edge_context.h
@@ -2,6 +2,7 @@
 
 #include "apps/edge/edge_metrics.h"
 #include "apps/edge/event_log.h"
+#include "apps/edge/loop_turns.h"
 #include "apps/edge/relay_pacer.h"
 #include "apps/edge/target_pool.h"
 #include "forwarding/node/forwarding_node.h"
@@ -19,6 +20,7 @@
     forwarding_node &node;
     target_pool &pool;
     relay_pacer &pacer;
+    loop_turns &turns;
     event_log &log;
     edge_metrics &metrics;
     /** Bytes of request bodies held in memory. */
--- a/apps/edge/edge_metrics.cpp
+++ b/apps/edge/edge_metrics.cpp
@@ -28,6 +28,9 @@
         m_registry.counterFor("quetzal_edge_connections_total", "Connections taken from callers."))
     , m_acceptFailures(m_registry.counterFor("quetzal_edge_accept_failures_total",
                                              "Connections that could not be accepted."))
+    , m_rejectedConnections(
+          m_registry.counterFor("quetzal_edge_rejected_connections_total",
+                                "Connections turned away unread for want of processor time."))
     , m_callersGone(m_registry.counterFor("quetzal_edge_callers_gone_total",
                                           "Callers that left before their request was started."))
     , m_loopDelay(m_registry.histogramFor("quetzal_edge_loop_delay_seconds",
--- a/apps/edge/edge_metrics.h
+++ b/apps/edge/edge_metrics.h
@@ -16,6 +16,7 @@
 struct edge_activity
 {
     std::int64_t connections = 0;
+    std::int64_t rejectedConnections = 0;
     std::int64_t requests = 0;
     std::int64_t bodyBytes = 0;
     std::int64_t sends = 0;
@@ -40,6 +41,12 @@
     }
     /** Counts a failure to accept a connection. */
     void onAcceptFailed() { m_acceptFailures.add(); }
+    /** Counts a connection that was turned away unread. */
+    void onConnectionRejected()
+    {
+        m_rejectedConnections.add();
+        ++m_activity.rejectedConnections;
+    }
     /** Counts a caller that disconnected before its request was started. */
     void onCallerGone()
     {
@@ -74,6 +81,7 @@
     metric_registry m_registry;
     counter &m_connections;
     counter &m_acceptFailures;
+    counter &m_rejectedConnections;
     counter &m_callersGone;
     latency_histogram &m_loopDelay;
     counter &m_requests;
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -1,6 +1,7 @@
 #include "apps/edge/edge_process.h"
 
 #include "apps/edge/edge_clock.h"
+#include "platform/request_dialect.h"
 
 #include <algorithm>
 #include <chrono>
@@ -55,6 +56,7 @@
     return {.dataCentre = settings.dataCentre,
             .routers = {.self = settings.vm, .members = {settings.vm}},
             .fleet = fleetLimits(settings),
+            .processorShare = settings.processorShare,
             .incarnation = static_cast<std::uint64_t>(timeOfDayMs())};
 }
 
@@ -84,10 +86,12 @@
     , m_node(nodeOptions(m_settings))
     , m_pool(m_loop)
     , m_pacer(m_loop)
+    , m_turns(m_loop, [this] { m_node.onTurnEnded(); })
     , m_context {.loop = m_loop,
                  .node = m_node,
                  .pool = m_pool,
                  .pacer = m_pacer,
+                 .turns = m_turns,
                  .log = m_log,
                  .metrics = m_metrics,
                  .maxHeldBytes = maxHeldBytes(m_settings)}
@@ -103,6 +107,7 @@
           m_loop, m_settings.callers,
           [this](auto socket) { onCallerConnection(std::move(socket)); },
           makeAcceptFailureCallback("callers"))
+    , m_turnedAway(m_loop, platform::rejectionText(forwarding_node::connectionRejection()))
     , m_readinessListener(
           m_loop, m_settings.readiness,
           makePageCallback([this](const std::string &path) { return statusPage(path); }),
@@ -142,6 +147,12 @@
 
 void edge_process::onCallerConnection(boost::asio::ip::tcp::socket socket)
 {
+    m_context.turns.onWork();
+    if (!m_node.tryTakeConnection()) {
+        m_metrics.onConnectionRejected();
+        m_turnedAway.reject(std::move(socket));
+        return;
+    }
     const auto connection = std::make_shared<caller_connection>(m_context, std::move(socket));
     m_connections.insert(connection);
     const std::weak_ptr<caller_connection> weak = connection;
@@ -165,7 +176,6 @@
 void edge_process::onLoopDelay(absl::Duration delay, absl::Time now)
 {
     m_metrics.onLoopDelay(delay);
-    m_node.onLoopDelay(delay, now + loop_monitor::interval);
     if (now >= m_activityLoggedAt + activityLogInterval)
         logActivity(now);
     if (delay < loggedLoopDelay || now < m_loopDelayLoggedAt + loopDelayLogInterval)
@@ -182,11 +192,12 @@
     const absl::Duration covered = now - std::exchange(m_activityLoggedAt, now);
     const std::int64_t datagrams = m_peers.receivedCount();
     const std::int64_t heard = datagrams - std::exchange(m_datagramsLogged, datagrams);
-    if (done.requests + done.callersGone == 0)
+    if (done.requests + done.callersGone + done.rejectedConnections == 0)
         return;
     m_log.line("activity")
         .number("coveredMs", absl::ToInt64Milliseconds(covered))
         .number("connections", done.connections)
+        .number("rejectedConnections", done.rejectedConnections)
         .number("requests", done.requests)
         .number("bodyBytes", done.bodyBytes)
         .number("sends", done.sends)
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apps/edge/caller_connection.h"
+#include "apps/edge/connection_rejecter.h"
 #include "apps/edge/edge_context.h"
 #include "apps/edge/listener.h"
 #include "apps/edge/loop_monitor.h"
@@ -68,6 +69,7 @@
     forwarding_node m_node;
     target_pool m_pool;
     relay_pacer m_pacer;
+    loop_turns m_turns;
     edge_metrics m_metrics;
     edge_context m_context;
     boost::asio::signal_set m_signals;
@@ -79,6 +81,7 @@
     absl::Time m_activityLoggedAt = absl::InfinitePast();
     std::int64_t m_datagramsLogged = 0;
     listener m_callerListener;
+    connection_rejecter m_turnedAway;
     listener m_readinessListener;
     listener m_metricsListener;
     listener m_mirrorListener;
--- a/apps/edge/listener.cpp
+++ b/apps/edge/listener.cpp
@@ -1,6 +1,5 @@
 #include "apps/edge/listener.h"
 
-#include "admission/processor/overload_detector.h"
 #include "apps/edge/socket_options.h"
 
 #include <chrono>
@@ -13,6 +12,8 @@
 namespace {
 
 constexpr int backlog = 1024;
+/** Connections must not wait until their callers have left. */
+constexpr int maxConnectionsPerTurn = 256;
 /** Delay before accepting again after a failure, for example without a free descriptor. */
 constexpr std::chrono::milliseconds acceptRetryDelay {50};
 
@@ -49,7 +50,7 @@
 
 void listener::acceptWaiting()
 {
-    for (int accepted = 1; accepted < overload_detector::maxArrivalsPerTurn; ++accepted) {
+    for (int accepted = 1; accepted < maxConnectionsPerTurn; ++accepted) {
         error_code error;
         boost::asio::ip::tcp::socket socket = m_acceptor.accept(error);
         if (error == boost::asio::error::would_block)
--- a/apps/edge/peer_exchange.cpp
+++ b/apps/edge/peer_exchange.cpp
@@ -1,6 +1,5 @@
 #include "apps/edge/peer_exchange.h"
 
-#include "admission/processor/overload_detector.h"
 #include "apps/edge/edge_clock.h"
 #include "exchange/digest/digest_codec.h"
 
@@ -15,6 +14,8 @@
 
 /** Bound of the set of discovered peers. */
 constexpr std::size_t maxDiscoveredPeers = 64;
+/** Datagrams must not wait for the other events of a busy router, or what they tell is stale. */
+constexpr int maxDatagramsPerTurn = 256;
 
 udp::endpoint endpointAt(const std::string &host, std::uint16_t port)
 {
@@ -52,7 +53,7 @@
 
 void peer_exchange::receiveWaiting()
 {
-    for (int received = 0; received < overload_detector::maxArrivalsPerTurn; ++received) {
+    for (int received = 0; received < maxDatagramsPerTurn; ++received) {
         error_code error;
         const std::size_t bytes
             = m_socket.receive_from(boost::asio::buffer(m_buffer), m_sender, 0, error);
--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -51,6 +51,7 @@
     m_log.setDescription(*description);
     m_lifecycle.emplace(m_context.node, m_context.nextRequest++, *std::move(description),
                         m_arrivedAt);
+    m_context.turns.onWork();
     const request_actions actions = m_lifecycle->start(m_context.isRejectingRequests, now);
     if (m_lifecycle->admitted() && !m_lifecycle->isFinished())
         startDeadlineTimer(now);
--- a/bench/emulator/router/emulated_processor.h
+++ b/bench/emulator/router/emulated_processor.h
@@ -20,6 +20,8 @@
      */
     absl::Duration quotaPeriod;
     absl::Duration acceptedConnection = absl::Microseconds(50);
+    /** A connection that is turned away unread. */
+    absl::Duration rejectedConnection = absl::Microseconds(30);
     /** A part of a request's body that is read in one turn of the event loop. */
     absl::Duration readPart;
     /** A part of a request's body that is sent to a target. */
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -17,7 +17,8 @@
 constexpr absl::Duration acceptGracePeriod = absl::Milliseconds(2800);
 /** Bytes of a body that one turn of the event loop reads at most. */
 constexpr std::int64_t bytesPerRead = 8192;
-constexpr absl::Duration loopDelayInterval = absl::Milliseconds(50);
+/** Connections that one turn of the event loop accepts or turns away at most. */
+constexpr int maxConnectionsPerTurn = 256;
 
 } // namespace
 
@@ -76,21 +77,20 @@
         mirror->start();
     m_store.write(memberPrefix + vm(), vm());
     sendDigests();
-    if (m_processor)
-        measureLoopDelay();
 }
 
-void emulated_router::measureLoopDelay()
+void emulated_router::onTurnWork()
 {
-    m_network.events().after(loopDelayInterval, [this] {
-        if (!m_isUp)
-            return;
-        m_processor->post([this, dueAt = m_network.events().now()] {
-            const absl::Time now = m_network.events().now();
-            m_node.onLoopDelay(now - dueAt, now + loopDelayInterval);
-            measureLoopDelay();
-            return absl::ZeroDuration();
-        });
+    if (!m_processor) {
+        m_node.onTurnEnded();
+        return;
+    }
+    if (std::exchange(m_isTurnEndPending, true))
+        return;
+    m_processor->post([this] {
+        m_isTurnEndPending = false;
+        m_node.onTurnEnded();
+        return absl::ZeroDuration();
     });
 }
 
@@ -220,12 +220,10 @@
         return;
     m_processor->post([this] {
         absl::Duration used;
-        for (int turn = 0; turn < overload_detector::maxArrivalsPerTurn && !m_acceptQueue.empty();
-             ++turn) {
+        for (int turn = 0; turn < maxConnectionsPerTurn && !m_acceptQueue.empty(); ++turn) {
             const std::uint64_t number = m_acceptQueue.front();
             m_acceptQueue.pop_front();
-            used += m_options.processor->acceptedConnection;
-            readPart(number, bodyPartsOf(number));
+            used += takeConnection(number);
         }
         m_isAccepting = false;
         acceptConnections();
@@ -233,6 +231,20 @@
     });
 }
 
+absl::Duration emulated_router::takeConnection(std::uint64_t number)
+{
+    onTurnWork();
+    if (m_node.tryTakeConnection()) {
+        readPart(number, bodyPartsOf(number));
+        return m_options.processor->acceptedConnection;
+    }
+    if (const auto found = m_requests.find(number); found != m_requests.end()) {
+        found->second.sink(router_answer {.reason = forwarding_node::connectionRejection()});
+        m_requests.erase(found);
+    }
+    return m_options.processor->rejectedConnection;
+}
+
 std::int64_t emulated_router::bodyPartsOf(std::uint64_t number) const
 {
     const auto found = m_requests.find(number);
@@ -262,6 +274,7 @@
     const std::int64_t bodyParts = bodyPartsOf(number);
     request_lifecycle &lifecycle = *found->second.lifecycle;
     const absl::Time now = m_network.events().now();
+    onTurnWork();
     const request_actions actions = lifecycle.start(m_isRejectingRequests, now);
     const bool isSent = lifecycle.admitted() && !lifecycle.isFinished();
     if (isSent)
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -126,8 +126,10 @@
     void sendDigests();
     peer_digest nextDigest(absl::Time now);
     std::size_t peerCount() const { return m_node.routers().members.size() - 1; }
-    /** Tells the node periodically how long an event waits for the processor. */
-    void measureLoopDelay();
+    /** Counts work of which the node limits the amount in a turn of the event loop. */
+    void onTurnWork();
+    /** Takes a waiting connection or turns it away; returns the processor time. */
+    absl::Duration takeConnection(std::uint64_t number);
     /** Accepts waiting connections, as many as one turn of the event loop does. */
     void acceptConnections();
     /** Returns the number of turns of the event loop that reading a request's body takes. */
@@ -158,6 +160,7 @@
     /** The requests on connections that are not accepted yet, in the order of arrival. */
     std::deque<std::uint64_t> m_acceptQueue;
     bool m_isAccepting = false;
+    bool m_isTurnEndPending = false;
     absl::btree_map<std::uint64_t, request_record> m_requests;
     std::uint64_t m_lastRequestNumber = 0;
     std::int64_t m_sentRequests = 0;
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -62,7 +62,7 @@
     }
     m_admitted = std::get<admitted_request>(std::move(admission));
     m_node.onAdmitted(*m_admitted, now);
-    if (const auto reason = m_node.rejectIfOverloaded(m_description, now))
+    if (const auto reason = m_node.rejectIfOverloaded())
         reject(*reason, actions, now);
     else
         place(actions, now);
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -15,18 +15,22 @@
 constexpr int statusUnavailable = 503;
 /** The Retry-After while there is no configuration. */
 constexpr absl::Duration retryAfterStart = absl::Seconds(1);
-/** Short, because another router can answer. */
-constexpr absl::Duration retryAfterOverloaded = absl::Milliseconds(20);
+/** Some turns of a busy event loop: the callers of one workspace may all come back to it. */
+constexpr absl::Duration retryAfterOverloaded = absl::Milliseconds(100);
 /** Weights of the kinds of failures in the choice of a target. */
 constexpr double unreachableWeight = 2.0;
 constexpr double lostAnswerWeight = 1.0;
 constexpr double failedAnswerWeight = 0.15;
 constexpr double refusalWeight = 0.7;
+/** Requests on connections that are open already come on top of those on new ones. */
+constexpr double requestsPerConnectionTaken = 2.0;
 
 } // namespace
 
 forwarding_node::forwarding_node(forwarding_options options)
     : m_options(std::move(options))
+    , m_connectionLimiter(turnLimitsOf(m_options.processorShare))
+    , m_requestLimiter(turnLimitsOf(m_options.processorShare * requestsPerConnectionTaken))
     , m_retryBudget(m_options.fleet.retries)
 {
 }
@@ -112,14 +116,24 @@
                              .deadline = deadline};
 }
 
-std::optional<rejection> forwarding_node::rejectIfOverloaded(const request_description &description,
-                                                             absl::Time now) const
+rejection forwarding_node::connectionRejection()
 {
-    if (shareDraw(description.id) < 1.0 - m_overload.rejectedFraction(now))
+    return {.status = statusUnavailable,
+            .code = result_code::RouterOverloaded,
+            .retryAfter = retryAfterOverloaded};
+}
+
+void forwarding_node::onTurnEnded()
+{
+    m_connectionLimiter.onTurnEnded();
+    m_requestLimiter.onTurnEnded();
+}
+
+std::optional<rejection> forwarding_node::rejectIfOverloaded()
+{
+    if (m_requestLimiter.tryTake())
         return std::nullopt;
-    return rejection {.status = statusUnavailable,
-                      .code = result_code::RouterOverloaded,
-                      .retryAfter = retryAfterOverloaded};
+    return connectionRejection();
 }
 
 void forwarding_node::onAdmitted(const admitted_request &request, absl::Time now)
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "admission/processor/overload_detector.h"
+#include "admission/processor/turn_limiter.h"
 #include "budgets/cold/cold_start_limiter.h"
 #include "budgets/connection/connection_share.h"
 #include "budgets/retry/shared_retry_budget.h"
@@ -59,17 +59,21 @@
     /** Checks a request against the active configuration. */
     std::variant<admitted_request, rejection> admit(const request_description &request,
                                                     absl::Time arrivedAt) const;
-    /** Adds the delay with which the event loop ran an event, and when the next one is due. */
-    void onLoopDelay(absl::Duration delay, absl::Time nextDueAt)
-    {
-        m_overload.onLoopDelay(delay, nextDueAt);
-    }
+    /**
+     * Takes a new connection; false if this turn of the event loop has taken as many as the
+     * processor can serve. One that is not taken is answered with connectionRejection(), unread.
+     */
+    bool tryTakeConnection() { return m_connectionLimiter.tryTake(); }
+    /** Returns the rejection of a connection that was not taken. */
+    static rejection connectionRejection();
+    /** Must be called at the end of each turn in which a connection was offered or a request began.
+     */
+    void onTurnEnded();
     /**
      * Returns the rejection of a request that this router has no processor time for. It does not
      * count towards the demand of its workspace: that router does which the caller asks next.
      */
-    std::optional<rejection> rejectIfOverloaded(const request_description &description,
-                                                absl::Time now) const;
+    std::optional<rejection> rejectIfOverloaded();
     /** Counts an admitted request towards the retry budget. */
     void onAdmitted(const admitted_request &request, absl::Time now);
     /**
@@ -187,7 +191,8 @@
     forwarding_options m_options;
     std::shared_ptr<const route_table> m_table;
     target_directory m_directory;
-    overload_detector m_overload;
+    turn_limiter m_connectionLimiter;
+    turn_limiter m_requestLimiter;
     cold_start_limiter m_coldLimiter;
     shared_retry_budget m_retryBudget;
     absl::flat_hash_map<std::string, target_view> m_views;
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -38,6 +38,8 @@
     fleet_limits fleet;
     choice_weights weights;
     backlog_limits limits;
+    /** The cores that this router has, above 0. */
+    double processorShare = 1.0;
     /** Distinguishes this run of the router from earlier ones in its digests. */
     std::uint64_t incarnation = 0;
 };
--- a/modules/forwarding/settings/edge_settings.h
+++ b/modules/forwarding/settings/edge_settings.h
@@ -40,6 +40,8 @@
     double coldFactor = 1.0;
     /** Additional requests per second to a cold target. */
     double coldAllowance = 0.0;
+    /** The cores that the process has. */
+    double processorShare = 1.0;
     int memoryMegabytes = 0;
     int fileDescriptors = 0;
 
--- a/modules/foundation/errors/result_code.cpp
+++ b/modules/foundation/errors/result_code.cpp
@@ -54,7 +54,7 @@
                        "Retry after the given time."},
     result_code_entry {result_code::RouterOverloaded, "RouterOverloaded", 503,
                        "The router has more to do than its processor can.",
-                       "Retry after the given time; another router answers."},
+                       "Retry after the given time, on another router if possible."},
     result_code_entry {result_code::OutcomeUnknown, "OutcomeUnknown", 502,
                        "The request was sent and its answer was lost; it may have run.",
                        "Ask the service whether it ran before repeating it."},
--- a/tests/admission/admission_test.cpp
+++ b/tests/admission/admission_test.cpp
@@ -100,40 +100,53 @@
     }
 }
 
-TEST_CASE("a router rejects what its processor has no time for", "[admission]")
+TEST_CASE("a router takes as many new requests a turn as its processor can serve", "[admission]")
 {
-    const absl::Time now = absl::UnixEpoch() + absl::Hours(1);
-    const absl::Time nextDueAt = now + absl::Milliseconds(50);
-    overload_detector detector(
-        {.minDelay = absl::Milliseconds(50), .maxDelay = absl::Milliseconds(250)});
+    const auto takeAll = [](turn_limiter &limiter) {
+        int taken = 0;
+        while (limiter.tryTake())
+            ++taken;
+        return taken;
+    };
+    turn_limiter limiter({.maxPerTurn = 3, .maxBurst = 10});
 
-    SECTION("nothing before the first delay was measured, and while delays are short")
+    SECTION("a burst after a quiet time is taken whole up to its bound")
     {
-        CHECK(detector.rejectedFraction(now) == 0.0);
-        detector.onLoopDelay(absl::Milliseconds(50), nextDueAt);
-        CHECK(detector.rejectedFraction(now) == 0.0);
+        CHECK(takeAll(limiter) == 10);
+        CHECK_FALSE(limiter.tryTake());
+
+        AND_THEN("each turn takes the same number while there are more, from the first on")
+        {
+            for (int turn = 0; turn < 100; ++turn) {
+                limiter.onTurnEnded();
+                CHECK(takeAll(limiter) == 3);
+            }
+        }
+
+        AND_THEN("turns with fewer make room for the next burst, and no more than for one")
+        {
+            for (int turn = 0; turn < 100; ++turn)
+                limiter.onTurnEnded();
+            CHECK(takeAll(limiter) == 10);
+        }
     }
 
-    SECTION("the more, the longer an event waits for the processor")
+    SECTION("turns that take no more than they may turn nobody away")
     {
-        detector.onLoopDelay(absl::Milliseconds(100), nextDueAt);
-        CHECK(detector.rejectedFraction(now) == Approx(0.25));
-        detector.onLoopDelay(absl::Milliseconds(250), nextDueAt);
-        CHECK(detector.rejectedFraction(now) == 1.0);
-        detector.onLoopDelay(absl::Seconds(5), nextDueAt);
-        CHECK(detector.rejectedFraction(now) == 1.0);
-
-        AND_THEN("and nothing again once it is short")
-        {
-            detector.onLoopDelay(absl::ZeroDuration(), nextDueAt);
-            CHECK(detector.rejectedFraction(now) == 0.0);
+        for (int turn = 0; turn < 100; ++turn) {
+            CHECK(limiter.tryTake());
+            CHECK(limiter.tryTake());
+            CHECK(limiter.tryTake());
+            limiter.onTurnEnded();
         }
     }
 
-    SECTION("also before the event that is late has run")
+    SECTION("the limits follow the processor, and the smallest still takes requests")
     {
-        detector.onLoopDelay(absl::ZeroDuration(), nextDueAt);
-        CHECK(detector.rejectedFraction(nextDueAt + absl::Milliseconds(50)) == 0.0);
-        CHECK(detector.rejectedFraction(nextDueAt + absl::Milliseconds(150)) == Approx(0.5));
+        const turn_limits small = turnLimitsOf(0.12);
+        const turn_limits whole = turnLimitsOf(1.0);
+        CHECK(whole.maxPerTurn > 7 * small.maxPerTurn);
+        CHECK(small.maxBurst > small.maxPerTurn);
+        CHECK(turnLimitsOf(0.001).maxPerTurn > 0);
     }
 }
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -437,7 +437,7 @@
                                .path = "/once/x",
                                .prompt = {{.id = 7, .tokens = 400}, {.id = 8, .tokens = 100}}},
                               start);
-    testRouter.node.onLoopDelay(absl::Seconds(1), start + absl::Milliseconds(50));
+    while (!testRouter.node.rejectIfOverloaded()) { }
     const request_actions actions = request.start(false, start);
     CHECK(ownStatus(actions) == 503);
     REQUIRE(find<answer_locally>(actions) != nullptr);
--- a/tests/saturation_open/busy_processor_test.cpp
+++ b/tests/saturation/busy_processor_test.cpp
@@ -35,6 +35,7 @@
     return {.share = 0.12,
             .quotaPeriod = quotaPeriod,
             .acceptedConnection = absl::Microseconds(80),
+            .rejectedConnection = absl::Microseconds(120),
             .readPart = absl::Microseconds(60),
             .sentPart = absl::Microseconds(40),
             .sentRequest = absl::Microseconds(450),
