Datagrams and copies between routers: nesting and number of values have bounds

Cause: digests and copies of the store are MessagePack, and the parser used calls itself once per level of nesting. A datagram of 16 KB holds 16,384 levels, a copy a million; the stack overflows and the process ends (SIGSEGV, no log line). Reading an answer's length or catching exceptions does not help. Change: modules/foundation/json/bounded_document reads JSON and MessagePack of other processes in one place, with bounds on depth and number of values; the parser is stopped at the first value beyond them. The digest and mirror codecs use it (depth 4).

--- a/modules/directory/mirror/mirror_codec.cpp
+++ b/modules/directory/mirror/mirror_codec.cpp
@@ -1,9 +1,15 @@
 #include "directory/mirror/mirror_codec.h"
 
-#include <nlohmann/json.hpp>
+#include "foundation/json/bounded_document.h"
 
 namespace quetzal {
 
+namespace {
+
+constexpr document_bounds mirrorBounds {.maxDepth = 4, .maxValues = 400000};
+
+} // namespace
+
 std::string encodeMirror(const listing_page &page)
 {
     nlohmann::json rows = nlohmann::json::array();
@@ -19,10 +25,12 @@
 
 std::optional<listing_page> decodeMirror(std::string_view bytes)
 {
-    const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
+    const auto document = readMessagePack(bytes, mirrorBounds);
+    if (!document)
+        return std::nullopt;
     try {
-        listing_page page {.revision = document.at(0).get<std::int64_t>()};
-        for (const nlohmann::json &row : document.at(1)) {
+        listing_page page {.revision = document->at(0).get<std::int64_t>()};
+        for (const nlohmann::json &row : document->at(1)) {
             const auto &value = row.at(2).get_binary();
             page.items.push_back({.key = row.at(0).get<std::string>(),
                                   .value = std::string(value.begin(), value.end()),
--- a/modules/exchange/digest/digest_codec.cpp
+++ b/modules/exchange/digest/digest_codec.cpp
@@ -1,6 +1,6 @@
 #include "exchange/digest/digest_codec.h"
 
-#include <nlohmann/json.hpp>
+#include "foundation/json/bounded_document.h"
 
 #include <cstddef>
 #include <variant>
@@ -12,6 +12,7 @@
 /** The first member of each digest, which tells its kind and version. */
 constexpr std::int64_t loadFormat = 2;
 constexpr std::int64_t backlogFormat = 3;
+constexpr document_bounds digestBounds {.maxDepth = 4, .maxValues = 16384};
 
 /** The members of both kinds of digests, in their order. */
 enum common_member : std::size_t
@@ -129,14 +130,14 @@
 
 std::optional<peer_digest> decodeDigest(std::string_view bytes)
 {
-    const auto document = nlohmann::json::from_msgpack(bytes.begin(), bytes.end(), true, false);
-    if (!document.is_array() || document.empty())
+    const auto document = readMessagePack(bytes, digestBounds);
+    if (!document || !document->is_array() || document->empty())
         return std::nullopt;
     try {
-        if (document.at(Format) == loadFormat)
-            return readLoad(document);
-        if (document.at(Format) == backlogFormat)
-            return readBacklogs(document);
+        if (document->at(Format) == loadFormat)
+            return readLoad(*document);
+        if (document->at(Format) == backlogFormat)
+            return readBacklogs(*document);
         return std::nullopt;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
--- a/modules/foundation/foundation.h
+++ b/modules/foundation/foundation.h
@@ -10,5 +10,6 @@
 #include "foundation/errors/precondition.h"
 #include "foundation/errors/result_code.h"
 #include "foundation/hashing/stable_hash.h"
+#include "foundation/json/bounded_document.h"
 #include "foundation/json/json_reader.h"
 #include "foundation/random/random_source.h"
--- /dev/null
+++ b/tests/directory/mirror_codec_test.cpp
@@ -0,0 +1,36 @@
+#include "directory/directory.h"
+
+#include <catch2/catch.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <string>
+
+using namespace quetzal;
+
+TEST_CASE("a copy of a mirror is encoded and decoded without loss", "[directory]")
+{
+    const listing_page page {
+        .items = {{.key = "a/1", .value = std::string("\x00\xff[[[", 5), .revision = 3},
+                  {.key = "a/2", .value = "", .revision = 4}},
+        .revision = 5};
+    const std::string bytes = encodeMirror(page);
+    CHECK(decodeMirror(bytes) == page);
+
+    SECTION("truncated copies are rejected, at every length")
+    {
+        for (std::size_t length = 0; length < bytes.size(); ++length)
+            CHECK_FALSE(decodeMirror(std::string_view(bytes).substr(0, length)).has_value());
+    }
+
+    SECTION("deeply nested copies are rejected")
+    {
+        constexpr std::size_t levels = 4000000;
+        CHECK_FALSE(decodeMirror(std::string(levels, '\x91')).has_value());
+        std::string maps;
+        while (maps.size() < levels)
+            maps += "\x81\xa1k";
+        CHECK_FALSE(decodeMirror(maps).has_value());
+        CHECK_FALSE(decodeMirror("\x92\x05" + std::string(levels, '\x91')).has_value());
+    }
+}
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -1,6 +1,13 @@
 #include "exchange/exchange.h"
 
 #include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <string>
+#include <vector>
 
 using namespace quetzal;
 
@@ -34,6 +41,22 @@
         CHECK_FALSE(decodeDigest("{\"a\":1}").has_value());
     }
 
+    SECTION("deeply nested datagrams are rejected")
+    {
+        constexpr std::size_t datagramBytes = 16384;
+        constexpr std::size_t manyBytes = 4000000;
+        for (const std::size_t size : {datagramBytes, manyBytes}) {
+            const std::string arrays(size, '\x91');
+            std::string maps;
+            while (maps.size() < size)
+                maps += "\x81\xa1k";
+            CHECK_FALSE(decodeDigest(arrays).has_value());
+            CHECK_FALSE(decodeDigest(maps).has_value());
+            CHECK_FALSE(decodeDigest(bytes + arrays).has_value());
+            CHECK_FALSE(decodeDigest("\x98\x02\xa3vm1\x07\x05" + arrays).has_value());
+        }
+    }
+
     SECTION("so is a digest of backlogs, which is far smaller")
     {
         const backlog_digest backlogs {.vm = "vm1",
