Entries of targets: bounded reading, and numbers checked when they are converted

Cause: an entry of another writer was parsed whole before its type was looked at, and its numbers were converted unchecked. An identifier with spaces or line ends from a key would have gone into a header field to the engine. Change: readTarget reads by readJson (depth 16, 4096 values); slots, cold time and start are whole or real numbers within a range, identifiers are visible ASCII, names of services and data centres at most 200 bytes. Anything else is an entry that names no target. A cold time below zero still means not cold. The parser of JSON itself never recursed, and 1e999 was rejected before: tests keep both so.

--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -89,6 +89,74 @@
         CHECK_FALSE(platform::readTarget("servers/i-1", "\xff\x01garbage").has_value());
         CHECK_FALSE(platform::readTarget("servers/i-1", "[]").has_value());
     }
+
+    const auto withText = [&](const std::string &from, const std::string &to) {
+        std::string text = good;
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    SECTION("that is nested deeply is ignored, at a cost that does not depend on its depth")
+    {
+        constexpr std::size_t entryBytes = 1048576;
+        constexpr std::size_t millions = 4000000;
+        for (const std::size_t size : {std::size_t {100000}, entryBytes, millions}) {
+            std::string objects;
+            while (objects.size() < size)
+                objects += R"({"a":)";
+            const std::string arrays(size, '[');
+            const std::string closed = arrays + std::string(size, ']');
+            for (const std::string &deep : {arrays, objects, closed}) {
+                CHECK_FALSE(platform::readTarget("servers/i-1", deep).has_value());
+                CHECK_FALSE(platform::readTarget("servers/i-1", withText("\"v1\"", deep)));
+            }
+        }
+    }
+    SECTION("with a number outside its range is ignored")
+    {
+        for (const char *number : {"1e999", "-1e999", "1e300", "4294967297", "9223372036854775807",
+                                   "9223372036854775808", "18446744073709551616", "-1", "NaN",
+                                   "Infinity", "1e2", "true", "[64]"}) {
+            CAPTURE(number);
+            CHECK_FALSE(platform::readTarget("servers/i-1", withText("64", number)));
+        }
+        for (const char *number : {"1e999", "1e300", "NaN", "\"250\"", "true",
+                                   "9223372036854775807", "18446744073709551615"}) {
+            CAPTURE(number);
+            CHECK_FALSE(platform::readTarget("servers/i-1", withText("250", number)));
+        }
+        for (const char *number : {"1e999", "1e300", "-1", "9223372036854775808",
+                                   "18446744073709551615", "18446744073709551616"}) {
+            CAPTURE(number);
+            CHECK_FALSE(platform::readTarget("servers/i-1", withText("17", number)));
+        }
+        CHECK(platform::readTarget("servers/i-1", withText("250", "-1"))->coldDuration
+              == absl::ZeroDuration());
+        CHECK(platform::readTarget("servers/i-1", withText("250", "0.5"))->coldDuration
+              == absl::Microseconds(500));
+        CHECK(platform::readTarget("servers/i-1", withText("17", "1700000000000"))->startedAtMs
+              == 1700000000000);
+    }
+    SECTION("whose key is not an identifier is ignored")
+    {
+        for (const char *key : {"servers/", "servers/i 1", "servers/i\r\nX-Tenant: t",
+                                "servers/i\n1", "servers/\xc3\xa9", "servers/i\x7f"}) {
+            CAPTURE(key);
+            CHECK_FALSE(platform::readTarget(key, good));
+        }
+    }
+    SECTION("with text that is not UTF-8, or with duplicate members, is read as a whole or not")
+    {
+        CHECK_FALSE(platform::readTarget("servers/i-1", withText("\"v1\"", "\"\xff\"")));
+        CHECK_FALSE(platform::readTarget("servers/i-1", withText("\"v1\"", "\"\xed\xa0\x80\"")));
+        CHECK_FALSE(platform::readTarget("servers/i-1", withText("\"slots\"", "\"service\"")));
+        CHECK_FALSE(platform::readTarget("servers/i-1", good + "x"));
+        CHECK_FALSE(platform::readTarget("servers/i-1", good + good));
+        CHECK_FALSE(platform::readTarget("servers/i-1", ""));
+        CHECK(platform::readTarget("servers/i-1",
+                                   withText("\"slots\":64", "\"slots\":1,\"slots\":64"))
+                  ->slots
+              == 64);
+    }
 }
 
 TEST_CASE("the configuration document", "[platform]")
@@ -176,7 +244,6 @@
     for (const char *name : {"Authorization", "X-Pin-Ms", "X-Retention", "X-Kv-Backup", "Kv-From",
                              "Connection", "X-Private"})
         CHECK(sent.fields.find(name) == nullptr);
-
     SECTION("a workspace named by the caller is dropped if the router sets none")
     {
         const request_head open = platform::requestForTarget(head, {.target = "i-1"});
