Addresses in documents: the host must be an IPv4 address

Cause: parseAddress took any text before the last colon for a host, and the sockets turn a host that is no address into 0.0.0.0. An entry with "host:80", "10.1.1.256:80", "10.1.1.1:80:80", "010.1.1.1:80" or a NUL byte was a target that was chosen and connected to at this machine itself. Ports 0, 65536, 99999, -1, +80, empty and with letters were rejected before; tests keep it so.

--- a/modules/directory/directory.h
+++ b/modules/directory/directory.h
@@ -12,5 +12,6 @@
 #include "directory/mirror/mirror_follower.h"
 #include "directory/mirror/mirror_messages.h"
 #include "directory/mirror/prefix_mirror.h"
+#include "directory/target/ipv4_address.h"
 #include "directory/target/target_directory.h"
 #include "directory/target/target_record.h"
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -519,6 +519,75 @@
         }
     }
 
+    SECTION("odd entries among those of the engines")
+    {
+        constexpr std::size_t entryBytes = 1048576;
+        const std::string good = first.entry("s");
+        const auto with = [&](const std::string &from, const std::string &to) {
+            std::string entry = good;
+            entry.replace(entry.find(from), from.size(), to);
+            return entry;
+        };
+        const std::vector<std::string> odd {
+            std::string(entryBytes, '['),
+            std::string(entryBytes / 2, '[') + std::string(entryBytes / 2, ']'),
+            with("\"v1\"", std::string(entryBytes / 2, '[')),
+            with("\"slots\":8", "\"slots\":1e999"),
+            with("\"slots\":8", "\"slots\":1e300"),
+            with("\"slots\":8", "\"slots\":4294967297"),
+            with("\"coldRemainingMs\":0", "\"coldRemainingMs\":1e300"),
+            with("\"born\":1", "\"born\":18446744073709551615"),
+            with("\"address\":\"", "\"address\":\"9"),
+            with("\"address\":\"127.9.7.11:", "\"address\":\"127.9.7.11:99999"),
+            with("\"address\":\"127.9.7.11:", "\"address\":\"host:"),
+            "\xff\xfe nonsense",
+            "",
+        };
+        const auto isAnswered = [&](const std::string &id, const std::string &status) {
+            return eventually([&] {
+                return router.answerTo(post("/safe/x", id, "answer"))
+                    .starts_with("HTTP/1.1 " + status);
+            });
+        };
+        for (std::size_t number = 0; number < odd.size(); ++number) {
+            const std::string id = "odd" + std::to_string(number);
+            CAPTURE(number);
+            keys->write("servers/i-0", odd[number]);
+            keys->write("servers/i-1", odd[number]);
+            keys->remove("servers/i-2");
+            REQUIRE(isAnswered(id + "none", "503"));
+            keys->write("servers/i-2", second.entry("s"));
+            REQUIRE(isAnswered(id + "kept", "200"));
+            CHECK(countRuns(second, id + "kept") == 1);
+            CHECK(router.isReady());
+        }
+        keys->write("servers/i-1", good);
+        keys->remove("servers/i-2");
+        REQUIRE(eventually([&] {
+            return router.answerTo(post("/safe/x", "back", "answer")).starts_with("HTTP/1.1 200")
+                && countRuns(first, "back") > 0;
+        }));
+        keys->write("servers/i-2", second.entry("s"));
+
+        AND_THEN("a router that starts serves from the good ones and follows later changes")
+        {
+            for (std::size_t number = 0; number < odd.size(); ++number)
+                keys->write("servers/a-" + std::to_string(number), odd[number]);
+            edge later("127.9.7.2", store.port());
+            REQUIRE(eventually([&] { return later.isReady(); }));
+            REQUIRE(eventually([&] {
+                return later.answerTo(post("/safe/x", "later", "answer"))
+                    .starts_with("HTTP/1.1 200");
+            }));
+            keys->remove("servers/i-1");
+            keys->remove("servers/i-2");
+            CHECK(eventually([&] {
+                return later.answerTo(post("/safe/x", "none", "answer"))
+                    .starts_with("HTTP/1.1 503");
+            }));
+        }
+    }
+
     SECTION("a different engine at a listed address runs no requests for the listed one")
     {
         platform_engine stranger("i-9", "127.9.7.19");
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -136,6 +136,41 @@
         CHECK(platform::readTarget("servers/i-1", withText("17", "1700000000000"))->startedAtMs
               == 1700000000000);
     }
+    SECTION("whose address names no host and port is ignored")
+    {
+        for (const char *address : {"10.1.1.1:0",
+                                    "10.1.1.1:65536",
+                                    "10.1.1.1:99999",
+                                    "10.1.1.1:-1",
+                                    "10.1.1.1:+80",
+                                    "10.1.1.1:",
+                                    "10.1.1.1",
+                                    "10.1.1.1:80x",
+                                    "10.1.1.1: 80",
+                                    "10.1.1.1:0x50",
+                                    ":80",
+                                    "",
+                                    "engine:80",
+                                    "localhost:80",
+                                    "10.1.1:80",
+                                    "10.1.1.256:80",
+                                    "10.1.1.1.1:80",
+                                    "010.1.1.1:80",
+                                    "0.0.0.0:80",
+                                    "255.255.255.255:80",
+                                    "224.0.0.1:80",
+                                    "[::1]:80",
+                                    "10.1.1.1:80:80",
+                                    "10.1.1.1 :80",
+                                    "10.1.1.1\\u0000:80",
+                                    "http://10.1.1.1:80"}) {
+            CAPTURE(address);
+            CHECK_FALSE(platform::readTarget("servers/i-1", withText("10.1.1.1:80", address)));
+        }
+        CHECK(platform::readTarget("servers/i-1", withText("10.1.1.1:80", "10.1.1.1:65535"))
+                  ->address.port
+              == 65535);
+    }
     SECTION("whose key is not an identifier is ignored")
     {
         for (const char *key : {"servers/", "servers/i 1", "servers/i\r\nX-Tenant: t",
