Records of routers: one whose host is no address counts as no router

Cause: any value below quetzalreach/members/ was taken for a router's host. It counted when the fleet's limits are divided, and datagrams for it went to 0.0.0.0. Change: such a record is skipped with a line router_unreadable. Before, edge_test "odd records among those of the routers": CHECK(router.metricOf("routers") == 1) with 5 == 1. After: it passes (8 assertions); the router stays ready and follows the next configuration.

--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -1,6 +1,7 @@
 #include "apps/edge/store_feed.h"
 
 #include "apps/edge/edge_clock.h"
+#include "directory/target/ipv4_address.h"
 #include "platform/platform.h"
 
 #include <algorithm>
@@ -144,9 +145,16 @@
     const absl::Time now = edgeNow();
     const std::string_view prefix = memberPrefix;
     std::vector<member> records;
-    for (const stored_item &item : m_members.follower().mirror().items())
-        records.push_back(
-            {.vm = item.key.substr(prefix.size()), .host = item.value, .revision = item.revision});
+    for (const stored_item &item : m_members.follower().mirror().items()) {
+        std::string vm = item.key.substr(prefix.size());
+        if (!isIpv4HostAddress(item.value)) {
+            m_context.log.line("router_unreadable")
+                .text("router", vm)
+                .number("revision", item.revision);
+            continue;
+        }
+        records.push_back({.vm = std::move(vm), .host = item.value, .revision = item.revision});
+    }
     m_memberTable.apply(records, now);
     updateRouters(now);
 }
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -148,6 +148,16 @@
         probe.send("GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
         return probe.readAll().starts_with("HTTP/1.1 200");
     }
+    /** Returns a number that the readiness address reports; -1 if there is none of this name. */
+    int metricOf(const std::string &name) const
+    {
+        caller probe(m_settings.readiness);
+        probe.send("GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+        const std::string text = probe.readAll();
+        const std::string start = "\nquetzal_edge_" + name + " ";
+        const std::size_t at = text.find(start);
+        return at == std::string::npos ? -1 : std::stoi(text.substr(at + start.size()));
+    }
     /** Sends one request on a new connection and returns the answer. */
     std::string answerTo(const std::string &request) const
     {
@@ -588,6 +598,20 @@
         }
     }
 
+    SECTION("odd records among those of the routers")
+    {
+        for (const std::string &host :
+             {std::string("nowhere"), std::string("0.0.0.0"), std::string(1048576, '['),
+              std::string("\xff\xfe"), std::string()})
+            keys->write("quetzalreach/members/odd" + std::to_string(host.size()), host);
+        keys->write("op/config", configuration(30, 250));
+        CHECK(eventually([&] {
+            return router.answerTo(post("/safe/x", "m", "slow")).starts_with("HTTP/1.1 504");
+        }));
+        CHECK(router.isReady());
+        CHECK(router.metricOf("routers") == 1);
+    }
+
     SECTION("a different engine at a listed address runs no requests for the listed one")
     {
         platform_engine stranger("i-9", "127.9.7.19");
