Answers of the store: a row that can't be read hides none of the others

Cause: readListing and readChanges rejected the whole answer when one row had no value, a value that is no text, or a revision of another type; the mirror then reads the same answer again, and follows no change as long as that row stands. Revisions of 1e300 or 2^63 were converted unchecked. Change: the answer is read with bounds; each row by itself. A value that can't be decoded is empty, which the reader of the value reports; a revision that can't be read counts as the answer's; a row without a key is left out, counted and logged (rows_unreadable). An answer without rows, or with a revision outside 0 to 2^53, is rejected as before. Whether the users' store can send such a row is not known; its values are base64 text.

--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -123,6 +123,7 @@
         const auto page = platform::readChanges(result.body);
         if (!page)
             return false;
+        reportUnreadable(page->unreadableCount);
         const auto changes = m_follower.onChanges(*page, now);
         reportReachability();
         reportChanges(changes, false);
@@ -131,6 +132,7 @@
     const auto page = platform::readListing(result.body);
     if (!page)
         return false;
+    reportUnreadable(page->unreadableCount);
     const auto changes = m_follower.onListing(*page, now);
     reportReachability();
     reportChanges(changes, first);
@@ -203,6 +205,14 @@
         m_callbacks.onChanges(changes, first);
 }
 
+void mirror_session::reportUnreadable(std::size_t rows)
+{
+    if (rows > 0)
+        m_log.line("rows_unreadable")
+            .text("prefix", m_follower.mirror().prefix())
+            .number("count", static_cast<std::int64_t>(rows));
+}
+
 void mirror_session::reportReachability()
 {
     const bool isReachable = m_follower.isReachable();
--- a/apps/edge/mirror_session.h
+++ b/apps/edge/mirror_session.h
@@ -66,6 +66,8 @@
     bool apply(const follower_step &step, const http_result &result);
     void reportChanges(const std::vector<key_change> &changes, bool first);
     void reportReachability();
+    /** Logs rows of the store's answer that have no key. */
+    void reportUnreadable(std::size_t rows);
 
     boost::asio::steady_timer m_timer;
     event_log &m_log;
--- a/modules/directory/mirror/mirror_messages.h
+++ b/modules/directory/mirror/mirror_messages.h
@@ -2,6 +2,7 @@
 
 #include "directory/mirror/prefix_mirror.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <vector>
 
@@ -15,6 +16,8 @@
     bool hasMore = false;
     /** The revision of the service when the page was read. */
     std::int64_t revision = 0;
+    /** The number of rows that could not be read and are left out. */
+    std::size_t unreadableCount = 0;
 
     bool operator==(const listing_page &) const = default;
 };
@@ -25,6 +28,8 @@
     std::vector<key_change> changes;
     /** The revision up to which the changes are complete. */
     std::int64_t revision = 0;
+    /** The number of rows that could not be read and are left out. */
+    std::size_t unreadableCount = 0;
 
     bool operator==(const change_page &) const = default;
 };
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -369,4 +369,68 @@
     CHECK(platform::watchCall("op/", 7, absl::Seconds(2)).target
           == "/api/kv-watch?prefix=op/&after=7&waitMs=2000");
     CHECK(platform::listCall("a b/", "k").target == "/api/kv-range?prefix=a%20b/&after=k");
+
+    SECTION("a row that can't be read hides none of the others")
+    {
+        const std::string good = R"({"key":"a/9","value":"bm9kZS0x","revision":4})";
+        for (const char *odd :
+             {R"({"key":"a/1","value":null,"revision":4})", R"({"key":"a/1","revision":4})",
+              R"({"key":"a/1","value":[[[]]],"revision":4})",
+              R"({"key":"a/1","value":"no base64!","revision":4})",
+              R"({"key":"a/1","value":"bm9kZS0x","revision":1e300})",
+              R"({"key":"a/1","value":"bm9kZS0x","revision":18446744073709551615})",
+              R"({"key":"a/1","value":"bm9kZS0x","revision":"4"})", R"({"key":"a/1"})"}) {
+            CAPTURE(odd);
+            const std::string rows = "[" + std::string(odd) + "," + good + "]";
+            const auto listed
+                = platform::readListing(R"({"items":)" + rows + R"(,"hasMore":false,"at":9})");
+            REQUIRE(listed.has_value());
+            REQUIRE(listed->items.size() == 2);
+            CHECK(listed->items[0].key == "a/1");
+            CHECK(listed->items[0].revision <= 9);
+            CHECK_FALSE(platform::readTarget("servers/i-1", listed->items[0].value).has_value());
+            CHECK(listed->items[1].value == "node-1");
+            const auto changed = platform::readChanges(R"({"events":)" + rows + R"(,"at":9})");
+            REQUIRE(changed.has_value());
+            REQUIRE(changed->changes.size() == 2);
+            CHECK(changed->changes[0].value.has_value());
+            CHECK(changed->changes[0].revision <= 9);
+            CHECK(changed->changes[1].value == "node-1");
+        }
+        for (const char *odd : {"null", "7", "[]", "{}", R"({"key":7,"value":"","revision":4})"}) {
+            CAPTURE(odd);
+            const std::string rows = "[" + std::string(odd) + "," + good + "]";
+            const auto listed
+                = platform::readListing(R"({"items":)" + rows + R"(,"hasMore":false,"at":9})");
+            REQUIRE(listed.has_value());
+            CHECK(listed->items.size() == 1);
+            const auto changed = platform::readChanges(R"({"events":)" + rows + R"(,"at":9})");
+            REQUIRE(changed.has_value());
+            CHECK(changed->changes.size() == 1);
+        }
+    }
+    SECTION("an answer without rows or with a revision out of range is rejected")
+    {
+        for (const char *at : {"1e300", "-1", "9223372036854775808", "\"9\"", "null"}) {
+            CAPTURE(at);
+            CHECK_FALSE(platform::readListing(R"({"items":[],"hasMore":false,"at":)"
+                                              + std::string(at) + "}"));
+            CHECK_FALSE(platform::readChanges(R"({"events":[],"at":)" + std::string(at) + "}"));
+        }
+        CHECK_FALSE(platform::readListing(R"({"items":7,"hasMore":false,"at":9})"));
+        CHECK_FALSE(platform::readChanges(R"({"events":"x","at":9})"));
+        CHECK_FALSE(platform::readListing(std::string(4000000, '[')).has_value());
+        CHECK_FALSE(platform::readChanges(std::string(4000000, '[')).has_value());
+    }
+    SECTION("a page of odd values leaves the rest of the listing readable")
+    {
+        std::string rows;
+        for (int number = 0; number < 500; ++number)
+            rows += R"({"key":"a/)" + std::to_string(number)
+                + R"(","value":"W1tbW1tbW1tb","revision":4},)";
+        const auto listed = platform::readListing(R"({"items":[)" + rows.substr(0, rows.size() - 1)
+                                                  + R"(],"hasMore":true,"at":9})");
+        REQUIRE(listed.has_value());
+        CHECK(listed->items.size() == 500);
+    }
 }
