Digests and copies: numbers are checked when they are converted

Cause: a number of another type or size in a datagram was converted unchecked: 1e300 as an integer is undefined, and sums over routers of numbers near 2^63 overflow. A copy with the revision 2^63-1 would have stopped the mirror for good (every later change is older) and overflows in revision + 1. Change: both codecs use the checked conversions of bounded_document; backlogs, requests, tokens and revisions have ranges far above what a router sends. A digest or copy with another number is rejected whole, as a malformed one.

--- a/modules/directory/mirror/mirror_codec.cpp
+++ b/modules/directory/mirror/mirror_codec.cpp
@@ -2,10 +2,14 @@
 
 #include "foundation/json/bounded_document.h"
 
+#include <optional>
+
 namespace quetzal {
 
 namespace {
 
+/** The largest whole number that all writers of JSON represent exactly. */
+constexpr std::int64_t maxRevision = std::int64_t {1} << 53U;
 constexpr document_bounds mirrorBounds {.maxDepth = 4, .maxValues = 400000};
 
 } // namespace
@@ -29,16 +33,18 @@
     if (!document)
         return std::nullopt;
     try {
-        listing_page page {.revision = document->at(0).get<std::int64_t>()};
+        listing_page page {.revision = wholeNumber(document->at(0), 0, maxRevision).value()};
         for (const nlohmann::json &row : document->at(1)) {
             const auto &value = row.at(2).get_binary();
             page.items.push_back({.key = row.at(0).get<std::string>(),
                                   .value = std::string(value.begin(), value.end()),
-                                  .revision = row.at(1).get<std::int64_t>()});
+                                  .revision = wholeNumber(row.at(1), 0, maxRevision).value()});
         }
         return page;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
+    } catch (const std::bad_optional_access &) {
+        return std::nullopt;
     }
 }
 
--- a/modules/exchange/digest/digest_codec.cpp
+++ b/modules/exchange/digest/digest_codec.cpp
@@ -3,6 +3,7 @@
 #include "foundation/json/bounded_document.h"
 
 #include <cstddef>
+#include <optional>
 #include <variant>
 
 namespace quetzal {
@@ -12,6 +13,11 @@
 /** The first member of each digest, which tells its kind and version. */
 constexpr std::int64_t loadFormat = 2;
 constexpr std::int64_t backlogFormat = 3;
+/** Bounds of the numbers, so that sums over all routers do not overflow. */
+constexpr std::int64_t maxBacklogMs = std::int64_t {1} << 40U;
+constexpr std::int64_t maxInFlight = 1000000;
+constexpr std::int64_t maxTokens = std::int64_t {1} << 50U;
+constexpr std::int64_t maxRevision = std::int64_t {1} << 53U;
 constexpr document_bounds digestBounds {.maxDepth = 4, .maxValues = 16384};
 
 /** The members of both kinds of digests, in their order. */
@@ -56,10 +62,10 @@
 
 placed_prompt readPrompt(const nlohmann::json &row)
 {
-    placed_prompt entry {.target = row.at(0).get<name_hash>()};
+    placed_prompt entry {.target = unsignedNumber(row.at(0)).value()};
     for (std::size_t index = 1; index + 1 < row.size(); index += 2)
-        entry.parts.push_back({.id = row.at(index).get<std::uint64_t>(),
-                               .tokens = row.at(index + 1).get<std::int64_t>()});
+        entry.parts.push_back({.id = unsignedNumber(row.at(index)).value(),
+                               .tokens = wholeNumber(row.at(index + 1), 0, maxTokens).value()});
     return entry;
 }
 
@@ -89,18 +95,20 @@
         LastChangeRevisions
     };
     load_digest digest {.vm = document.at(Vm).get<std::string>(),
-                        .sequence = document.at(Sequence).get<std::uint64_t>(),
-                        .incarnation = document.at(Incarnation).get<std::uint64_t>(),
-                        .lastChangeRevisions
-                        = document.at(LastChangeRevisions).get<std::vector<std::int64_t>>()};
+                        .sequence = unsignedNumber(document.at(Sequence)).value(),
+                        .incarnation = unsignedNumber(document.at(Incarnation)).value(),
+                        .lastChangeRevisions = {}};
+    for (const nlohmann::json &revision : document.at(LastChangeRevisions))
+        digest.lastChangeRevisions.push_back(wholeNumber(revision, 0, maxRevision).value());
     for (const nlohmann::json &row : document.at(Targets))
-        digest.targets.push_back({.target = row.at(0).get<name_hash>(),
-                                  .backlogMs = row.at(1).get<std::int64_t>(),
-                                  .inFlight = row.at(2).get<std::int64_t>()});
+        digest.targets.push_back({.target = unsignedNumber(row.at(0)).value(),
+                                  .backlogMs = wholeNumber(row.at(1), 0, maxBacklogMs).value(),
+                                  .inFlight = wholeNumber(row.at(2), 0, maxInFlight).value()});
     for (const nlohmann::json &row : document.at(Workspaces))
-        digest.workspaces.push_back({.workspace = row.at(0).get<name_hash>(),
-                                     .requestedTokens = row.at(1).get<std::int64_t>(),
-                                     .servedTokens = row.at(2).get<std::int64_t>()});
+        digest.workspaces.push_back(
+            {.workspace = unsignedNumber(row.at(0)).value(),
+             .requestedTokens = wholeNumber(row.at(1), -maxTokens, maxTokens).value(),
+             .servedTokens = wholeNumber(row.at(2), -maxTokens, maxTokens).value()});
     for (const nlohmann::json &row : document.at(Prompts))
         digest.prompts.push_back(readPrompt(row));
     return digest;
@@ -109,11 +117,11 @@
 backlog_digest readBacklogs(const nlohmann::json &document)
 {
     backlog_digest digest {.vm = document.at(Vm).get<std::string>(),
-                           .sequence = document.at(Sequence).get<std::uint64_t>(),
-                           .incarnation = document.at(Incarnation).get<std::uint64_t>()};
+                           .sequence = unsignedNumber(document.at(Sequence)).value(),
+                           .incarnation = unsignedNumber(document.at(Incarnation)).value()};
     for (const nlohmann::json &row : document.at(FirstSpecific))
-        digest.backlogs.push_back(
-            {.target = row.at(0).get<name_hash>(), .backlogMs = row.at(1).get<std::int64_t>()});
+        digest.backlogs.push_back({.target = unsignedNumber(row.at(0)).value(),
+                                   .backlogMs = wholeNumber(row.at(1), 0, maxBacklogMs).value()});
     return digest;
 }
 
@@ -141,6 +149,8 @@
         return std::nullopt;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
+    } catch (const std::bad_optional_access &) {
+        return std::nullopt;
     }
 }
 
--- a/modules/foundation/json/bounded_document.cpp
+++ b/modules/foundation/json/bounded_document.cpp
@@ -128,6 +128,13 @@
     return number;
 }
 
+std::optional<std::uint64_t> unsignedNumber(const json &value)
+{
+    if (!value.is_number_unsigned())
+        return std::nullopt;
+    return value.get<std::uint64_t>();
+}
+
 std::optional<double> numberWithin(const json &value, double minimum, double maximum)
 {
     if (!value.is_number())
--- a/modules/foundation/json/bounded_document.h
+++ b/modules/foundation/json/bounded_document.h
@@ -32,6 +32,9 @@
 std::optional<std::int64_t> wholeNumber(const nlohmann::json &value, std::int64_t minimum,
                                         std::int64_t maximum);
 
+/** Returns a whole number that is not negative; nothing for any other value. */
+std::optional<std::uint64_t> unsignedNumber(const nlohmann::json &value);
+
 /** Returns a number within [minimum, maximum]; nothing for any other value. */
 std::optional<double> numberWithin(const nlohmann::json &value, double minimum, double maximum);
 
--- a/tests/directory/mirror_codec_test.cpp
+++ b/tests/directory/mirror_codec_test.cpp
@@ -23,6 +23,19 @@
             CHECK_FALSE(decodeMirror(std::string_view(bytes).substr(0, length)).has_value());
     }
 
+    SECTION("copies with a revision out of range are rejected")
+    {
+        for (const std::int64_t revision :
+             {std::numeric_limits<std::int64_t>::max(), std::int64_t {-1}}) {
+            listing_page odd = page;
+            odd.revision = revision;
+            CHECK_FALSE(decodeMirror(encodeMirror(odd)).has_value());
+            odd = page;
+            odd.items[0].revision = revision;
+            CHECK_FALSE(decodeMirror(encodeMirror(odd)).has_value());
+        }
+    }
+
     SECTION("deeply nested copies are rejected")
     {
         constexpr std::size_t levels = 4000000;
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -57,6 +57,44 @@
         }
     }
 
+    SECTION("numbers out of range are rejected")
+    {
+        constexpr std::int64_t limit = std::numeric_limits<std::int64_t>::max();
+        const std::vector<std::function<void(load_digest &, std::int64_t)>> fields {
+            [](load_digest &odd, std::int64_t value) { odd.targets[0].backlogMs = value; },
+            [](load_digest &odd, std::int64_t value) { odd.targets[0].inFlight = value; },
+            [](load_digest &odd, std::int64_t value) { odd.workspaces[0].requestedTokens = value; },
+            [](load_digest &odd, std::int64_t value) { odd.workspaces[0].servedTokens = value; },
+            [](load_digest &odd, std::int64_t value) { odd.prompts[0].parts[1].tokens = value; },
+            [](load_digest &odd, std::int64_t value) {
+                odd.lastChangeRevisions[1] = value;
+            }};
+        for (std::size_t field = 0; field < fields.size(); ++field) {
+            for (const std::int64_t value : {limit, -limit}) {
+                CAPTURE(field, value);
+                load_digest odd = digest;
+                fields[field](odd, value);
+                CHECK_FALSE(decodeDigest(encodeDigest(odd)).has_value());
+            }
+        }
+    }
+
+    SECTION("numbers of another type are rejected")
+    {
+        nlohmann::json document = nlohmann::json::from_msgpack(bytes);
+        const auto place = GENERATE(as<std::string>(), "/2", "/3", "/4/0/0", "/4/0/1", "/4/0/2",
+                                    "/5/0/0", "/5/0/1", "/6/0/0", "/6/0/1", "/6/0/2", "/7/0");
+        for (const nlohmann::json &odd :
+             {nlohmann::json(1e300), nlohmann::json(-1e300), nlohmann::json("7"),
+              nlohmann::json(nullptr), nlohmann::json::array({1})}) {
+            CAPTURE(place, odd);
+            document[nlohmann::json::json_pointer(place)] = odd;
+            std::string encoded;
+            nlohmann::json::to_msgpack(document, encoded);
+            CHECK_FALSE(decodeDigest(encoded).has_value());
+        }
+    }
+
     SECTION("so is a digest of backlogs, which is far smaller")
     {
         const backlog_digest backlogs {.vm = "vm1",
