Heads of requests and answers: token and load numbers have bounds

X-Prefix-Hash with two parts of 2^63-1 tokens overflows in the sum (undefined), the work of the request gets negative, and so does the backlog of its target in this router and, by digests, in all.

--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -612,6 +612,22 @@
         CHECK(router.metricOf("routers") == 1);
     }
 
+    SECTION("numbers out of range in the head of a request")
+    {
+        for (const char *fields :
+             {"X-Deadline-Ms: 9223372036854775807\r\n", "X-Deadline-Ms: -9223372036854775808\r\n",
+              "X-Deadline-Ms: 99999999999999999999\r\n", "X-Token-Usage: 1,9223372036854775807\r\n",
+              "X-Token-Usage: -1,-9223372036854775808\r\n",
+              "X-Prefix-Hash: 1:9223372036854775807,2:9223372036854775807\r\n",
+              "X-Prefix-Hash: ffffffffffffffffff:-1\r\n"}) {
+            CAPTURE(fields);
+            const std::string answer = router.answerTo(
+                post("/safe/x", "n", "answer", std::string("Connection: close\r\n") + fields));
+            CHECK(answer.starts_with("HTTP/1.1 "));
+            CHECK(router.answerTo(post("/safe/x", "a", "answer")).starts_with("HTTP/1.1 200"));
+        }
+    }
+
     SECTION("a different engine at a listed address runs no requests for the listed one")
     {
         platform_engine stranger("i-9", "127.9.7.19");
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -279,6 +279,32 @@
     for (const char *name : {"Authorization", "X-Pin-Ms", "X-Retention", "X-Kv-Backup", "Kv-From",
                              "Connection", "X-Private"})
         CHECK(sent.fields.find(name) == nullptr);
+
+    SECTION("numbers out of range are ignored or bounded")
+    {
+        for (const char *prefix :
+             {"1:9223372036854775807,2:9223372036854775807", "1:9223372036854775808", "1:-1",
+              "10000000000000000:1", "-1:1", "1:1e3", "1:", ":1"}) {
+            CAPTURE(prefix);
+            head.fields.set("X-Prefix-Hash", prefix);
+            CHECK(platform::describeRequest(head)->prompt.empty());
+        }
+        for (const auto &[usage, tokens] :
+             {std::pair("1,9223372036854775807", std::int64_t {1000000000}),
+              std::pair("1,-9223372036854775808", std::int64_t {0}),
+              std::pair("1,9223372036854775808", std::int64_t {0}),
+              std::pair(",", std::int64_t {0})}) {
+            CAPTURE(usage);
+            head.fields.set("X-Token-Usage", usage);
+            CHECK(platform::describeRequest(head)->maxOutputTokens == tokens);
+        }
+        for (const char *deadline : {"9223372036854775807", "-9223372036854775808",
+                                     "9223372036854775808", "1e300", "nan", ""}) {
+            CAPTURE(deadline);
+            head.fields.set("X-Deadline-Ms", deadline);
+            CHECK(platform::describeRequest(head).has_value());
+        }
+    }
     SECTION("a workspace named by the caller is dropped if the router sets none")
     {
         const request_head open = platform::requestForTarget(head, {.target = "i-1"});
@@ -342,6 +368,16 @@
             CHECK_FALSE(platform::describeAnswer(refusal).retryAfter.has_value());
         }
     }
+    SECTION("a report with numbers out of range is ignored")
+    {
+        for (const char *load :
+             {"2147483647,2147483647,8", "-1,1,8", "3,-1,8", "3,1,-2147483648", "2147483648,1,8"}) {
+            response_head odd {.status = 200};
+            odd.fields.add("X-Instance-Load", load);
+            CAPTURE(load);
+            CHECK_FALSE(platform::describeAnswer(odd).running.has_value());
+        }
+    }
     SECTION("malformed numbers are ignored")
     {
         response_head malformed {.status = 200};
