A target whose entry is overwritten by an odd one gets no more work at once

Cause: an odd entry was treated as one that had lapsed, which is kept for 1.9 s after the list is back from an outage. But the users say of an odd entry that it names no engine to use. Change: target_directory::drop; the feed calls it when there is a value that can't be read. After: directory_test and forwarding_test pass. The wait after an outage was not played end to end.

--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -117,7 +117,10 @@
         line.text("target", id).number("revision", change.revision);
         if (!record) {
             line.flag("unreadable", change.value.has_value());
-            m_context.node.removeTarget(id, now);
+            if (change.value)
+                m_context.node.dropTarget(id);
+            else
+                m_context.node.removeTarget(id, now);
             m_context.pool.closeIdle(id);
             continue;
         }
--- a/modules/directory/target/target_directory.cpp
+++ b/modules/directory/target/target_directory.cpp
@@ -61,6 +61,11 @@
     found->second.lapsesAt = m_isListUnavailable ? now + lapseGracePeriod : graceEnd;
 }
 
+void target_directory::drop(const std::string &id)
+{
+    m_targets.erase(id);
+}
+
 void target_directory::markReplaced(const std::string &id)
 {
     if (const auto found = m_targets.find(id); found != m_targets.end())
--- a/modules/directory/target/target_directory.h
+++ b/modules/directory/target/target_directory.h
@@ -57,8 +57,10 @@
      * zero for targets of the first listing, which are not known to be new.
      */
     void apply(const target_record &record, absl::Duration coldStart, absl::Time now);
-    /** Removes a target without a readable record, at once or after a grace period. */
+    /** Removes a target whose record disappeared, at once or after a grace period. */
     void remove(const std::string &id, absl::Time now);
+    /** Removes a target whose record was overwritten by one that names no target, at once. */
+    void drop(const std::string &id);
     /** Excludes a target at whose address another one answered, until it moves or restarts. */
     void markReplaced(const std::string &id);
     /** Excludes this incarnation of a target, which said in an answer that it leaves. */
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -69,6 +69,17 @@
 void forwarding_node::removeTarget(const std::string &id, absl::Time now)
 {
     m_directory.remove(id, now);
+    forgetIfRemoved(id);
+}
+
+void forwarding_node::dropTarget(const std::string &id)
+{
+    m_directory.drop(id);
+    forgetIfRemoved(id);
+}
+
+void forwarding_node::forgetIfRemoved(const std::string &id)
+{
     if (m_directory.find(id) != nullptr)
         return;
     m_coldLimiter.remove(id);
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -53,6 +53,8 @@
     void applyTarget(const target_record &record, bool wasListedAtStart, absl::Time now);
     /** Removes a target whose record disappeared; the directory may keep it for a grace period. */
     void removeTarget(const std::string &id, absl::Time now);
+    /** Removes a target whose record was overwritten by one that names no target. */
+    void dropTarget(const std::string &id);
     /** Replaces the set of data centres that receive no requests. */
     void setEvacuated(const absl::flat_hash_set<std::string> &dataCentres, absl::Time now);
 
@@ -168,6 +170,8 @@
     /** True if this router has requests on all connections that it may have to the target. */
     bool isConnectionShareUsed(const std::string &target, const service_description &service,
                                absl::Time now) const;
+    /** Forgets what was learned of a target if it is no longer listed. */
+    void forgetIfRemoved(const std::string &id);
     /** Drops the view of a target that is no longer listed and has no open requests. */
     void dropViewIfRemoved(const std::string &target);
     target_view &viewOf(const std::string &target, const service_description &service);
--- a/tests/directory/target_directory_test.cpp
+++ b/tests/directory/target_directory_test.cpp
@@ -139,6 +139,18 @@
         }
     }
 
+    SECTION("a target whose record is overwritten by one that names none is removed at once")
+    {
+        directory.onListUnavailable(start);
+        directory.drop("a");
+        directory.drop("unknown");
+        CHECK_FALSE(directory.mayReceive("a", start));
+        CHECK(directory.mayReceive("b", start));
+        directory.onListAvailable(start);
+        directory.apply(engine("a"), absl::ZeroDuration(), start);
+        CHECK(directory.mayReceive("a", start));
+    }
+
     SECTION("a draining target is not kept after an outage")
     {
         target_record draining = engine("a");
