--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -1,6 +1,7 @@
 #include "apps/edge/store_feed.h"
 
 #include "apps/edge/edge_clock.h"
+#include "directory/target/ipv4_address.h"
 #include "platform/platform.h"
 
 #include <algorithm>
@@ -116,7 +117,10 @@
         line.text("target", id).number("revision", change.revision);
         if (!record) {
             line.flag("unreadable", change.value.has_value());
-            m_context.node.removeTarget(id, now);
+            if (change.value)
+                m_context.node.dropTarget(id);
+            else
+                m_context.node.removeTarget(id, now);
             m_context.pool.closeIdle(id);
             continue;
         }
@@ -144,9 +148,16 @@
     const absl::Time now = edgeNow();
     const std::string_view prefix = memberPrefix;
     std::vector<member> records;
-    for (const stored_item &item : m_members.follower().mirror().items())
-        records.push_back(
-            {.vm = item.key.substr(prefix.size()), .host = item.value, .revision = item.revision});
+    for (const stored_item &item : m_members.follower().mirror().items()) {
+        std::string vm = item.key.substr(prefix.size());
+        if (!isIpv4HostAddress(item.value)) {
+            m_context.log.line("router_unreadable")
+                .text("router", vm)
+                .number("revision", item.revision);
+            continue;
+        }
+        records.push_back({.vm = std::move(vm), .host = item.value, .revision = item.revision});
+    }
     m_memberTable.apply(records, now);
     updateRouters(now);
 }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -89,6 +89,109 @@
         CHECK_FALSE(platform::readTarget("servers/i-1", "\xff\x01garbage").has_value());
         CHECK_FALSE(platform::readTarget("servers/i-1", "[]").has_value());
     }
+
+    const auto withText = [&](const std::string &from, const std::string &to) {
+        std::string text = good;
+        text.replace(text.find(from), from.size(), to);
+        return text;
+    };
+    SECTION("that is nested deeply is ignored, at a cost that does not depend on its depth")
+    {
+        constexpr std::size_t entryBytes = 1048576;
+        constexpr std::size_t millions = 4000000;
+        for (const std::size_t size : {std::size_t {100000}, entryBytes, millions}) {
+            std::string objects;
+            while (objects.size() < size)
+                objects += R"({"a":)";
+            const std::string arrays(size, '[');
+            const std::string closed = arrays + std::string(size, ']');
+            for (const std::string &deep : {arrays, objects, closed}) {
+                CHECK_FALSE(platform::readTarget("servers/i-1", deep).has_value());
+                CHECK_FALSE(platform::readTarget("servers/i-1", withText("\"v1\"", deep)));
+            }
+        }
+    }
+    SECTION("with a number outside its range is ignored")
+    {
+        for (const char *number : {"1e999", "-1e999", "1e300", "4294967297", "9223372036854775807",
+                                   "9223372036854775808", "18446744073709551616", "-1", "NaN",
+                                   "Infinity", "1e2", "true", "[64]"}) {
+            CAPTURE(number);
+            CHECK_FALSE(platform::readTarget("servers/i-1", withText("64", number)));
+        }
+        for (const char *number : {"1e999", "1e300", "NaN", "\"250\"", "true",
+                                   "9223372036854775807", "18446744073709551615"}) {
+            CAPTURE(number);
+            CHECK_FALSE(platform::readTarget("servers/i-1", withText("250", number)));
+        }
+        for (const char *number : {"1e999", "1e300", "-1", "9223372036854775808",
+                                   "18446744073709551615", "18446744073709551616"}) {
+            CAPTURE(number);
+            CHECK_FALSE(platform::readTarget("servers/i-1", withText("17", number)));
+        }
+        CHECK(platform::readTarget("servers/i-1", withText("250", "-1"))->coldDuration
+              == absl::ZeroDuration());
+        CHECK(platform::readTarget("servers/i-1", withText("250", "0.5"))->coldDuration
+              == absl::Microseconds(500));
+        CHECK(platform::readTarget("servers/i-1", withText("17", "1700000000000"))->startedAtMs
+              == 1700000000000);
+    }
+    SECTION("whose address names no host and port is ignored")
+    {
+        for (const char *address : {"10.1.1.1:0",
+                                    "10.1.1.1:65536",
+                                    "10.1.1.1:99999",
+                                    "10.1.1.1:-1",
+                                    "10.1.1.1:+80",
+                                    "10.1.1.1:",
+                                    "10.1.1.1",
+                                    "10.1.1.1:80x",
+                                    "10.1.1.1: 80",
+                                    "10.1.1.1:0x50",
+                                    ":80",
+                                    "",
+                                    "engine:80",
+                                    "localhost:80",
+                                    "10.1.1:80",
+                                    "10.1.1.256:80",
+                                    "10.1.1.1.1:80",
+                                    "010.1.1.1:80",
+                                    "0.0.0.0:80",
+                                    "255.255.255.255:80",
+                                    "224.0.0.1:80",
+                                    "[::1]:80",
+                                    "10.1.1.1:80:80",
+                                    "10.1.1.1 :80",
+                                    "10.1.1.1\\u0000:80",
+                                    "http://10.1.1.1:80"}) {
+            CAPTURE(address);
+            CHECK_FALSE(platform::readTarget("servers/i-1", withText("10.1.1.1:80", address)));
+        }
+        CHECK(platform::readTarget("servers/i-1", withText("10.1.1.1:80", "10.1.1.1:65535"))
+                  ->address.port
+              == 65535);
+    }
+    SECTION("whose key is not an identifier is ignored")
+    {
+        for (const char *key : {"servers/", "servers/i 1", "servers/i\r\nX-Tenant: t",
+                                "servers/i\n1", "servers/\xc3\xa9", "servers/i\x7f"}) {
+            CAPTURE(key);
+            CHECK_FALSE(platform::readTarget(key, good));
+        }
+    }
+    SECTION("with text that is not UTF-8, or with duplicate members, is read as a whole or not")
+    {
+        CHECK_FALSE(platform::readTarget("servers/i-1", withText("\"v1\"", "\"\xff\"")));
+        CHECK_FALSE(platform::readTarget("servers/i-1", withText("\"v1\"", "\"\xed\xa0\x80\"")));
+        CHECK_FALSE(platform::readTarget("servers/i-1", withText("\"slots\"", "\"service\"")));
+        CHECK_FALSE(platform::readTarget("servers/i-1", good + "x"));
+        CHECK_FALSE(platform::readTarget("servers/i-1", good + good));
+        CHECK_FALSE(platform::readTarget("servers/i-1", ""));
+        CHECK(platform::readTarget("servers/i-1",
+                                   withText("\"slots\":64", "\"slots\":1,\"slots\":64"))
+                  ->slots
+              == 64);
+    }
 }
 
 TEST_CASE("the configuration document", "[platform]")
@@ -177,6 +280,31 @@
                              "Connection", "X-Private"})
         CHECK(sent.fields.find(name) == nullptr);
 
+    SECTION("numbers out of range are ignored or bounded")
+    {
+        for (const char *prefix :
+             {"1:9223372036854775807,2:9223372036854775807", "1:9223372036854775808", "1:-1",
+              "10000000000000000:1", "-1:1", "1:1e3", "1:", ":1"}) {
+            CAPTURE(prefix);
+            head.fields.set("X-Prefix-Hash", prefix);
+            CHECK(platform::describeRequest(head)->prompt.empty());
+        }
+        for (const auto &[usage, tokens] :
+             {std::pair("1,9223372036854775807", std::int64_t {1000000000}),
+              std::pair("1,-9223372036854775808", std::int64_t {0}),
+              std::pair("1,9223372036854775808", std::int64_t {0}),
+              std::pair(",", std::int64_t {0})}) {
+            CAPTURE(usage);
+            head.fields.set("X-Token-Usage", usage);
+            CHECK(platform::describeRequest(head)->maxOutputTokens == tokens);
+        }
+        for (const char *deadline : {"9223372036854775807", "-9223372036854775808",
+                                     "9223372036854775808", "1e300", "nan", ""}) {
+            CAPTURE(deadline);
+            head.fields.set("X-Deadline-Ms", deadline);
+            CHECK(platform::describeRequest(head).has_value());
+        }
+    }
     SECTION("a workspace named by the caller is dropped if the router sets none")
     {
         const request_head open = platform::requestForTarget(head, {.target = "i-1"});
@@ -240,6 +368,16 @@
             CHECK_FALSE(platform::describeAnswer(refusal).retryAfter.has_value());
         }
     }
+    SECTION("a report with numbers out of range is ignored")
+    {
+        for (const char *load :
+             {"2147483647,2147483647,8", "-1,1,8", "3,-1,8", "3,1,-2147483648", "2147483648,1,8"}) {
+            response_head odd {.status = 200};
+            odd.fields.add("X-Instance-Load", load);
+            CAPTURE(load);
+            CHECK_FALSE(platform::describeAnswer(odd).running.has_value());
+        }
+    }
     SECTION("malformed numbers are ignored")
     {
         response_head malformed {.status = 200};
@@ -267,4 +405,68 @@
     CHECK(platform::watchCall("op/", 7, absl::Seconds(2)).target
           == "/api/kv-watch?prefix=op/&after=7&waitMs=2000");
     CHECK(platform::listCall("a b/", "k").target == "/api/kv-range?prefix=a%20b/&after=k");
+
+    SECTION("a row that can't be read hides none of the others")
+    {
+        const std::string good = R"({"key":"a/9","value":"bm9kZS0x","revision":4})";
+        for (const char *odd :
+             {R"({"key":"a/1","value":null,"revision":4})", R"({"key":"a/1","revision":4})",
+              R"({"key":"a/1","value":[[[]]],"revision":4})",
+              R"({"key":"a/1","value":"no base64!","revision":4})",
+              R"({"key":"a/1","value":"bm9kZS0x","revision":1e300})",
+              R"({"key":"a/1","value":"bm9kZS0x","revision":18446744073709551615})",
+              R"({"key":"a/1","value":"bm9kZS0x","revision":"4"})", R"({"key":"a/1"})"}) {
+            CAPTURE(odd);
+            const std::string rows = "[" + std::string(odd) + "," + good + "]";
+            const auto listed
+                = platform::readListing(R"({"items":)" + rows + R"(,"hasMore":false,"at":9})");
+            REQUIRE(listed.has_value());
+            REQUIRE(listed->items.size() == 2);
+            CHECK(listed->items[0].key == "a/1");
+            CHECK(listed->items[0].revision <= 9);
+            CHECK_FALSE(platform::readTarget("servers/i-1", listed->items[0].value).has_value());
+            CHECK(listed->items[1].value == "node-1");
+            const auto changed = platform::readChanges(R"({"events":)" + rows + R"(,"at":9})");
+            REQUIRE(changed.has_value());
+            REQUIRE(changed->changes.size() == 2);
+            CHECK(changed->changes[0].value.has_value());
+            CHECK(changed->changes[0].revision <= 9);
+            CHECK(changed->changes[1].value == "node-1");
+        }
+        for (const char *odd : {"null", "7", "[]", "{}", R"({"key":7,"value":"","revision":4})"}) {
+            CAPTURE(odd);
+            const std::string rows = "[" + std::string(odd) + "," + good + "]";
+            const auto listed
+                = platform::readListing(R"({"items":)" + rows + R"(,"hasMore":false,"at":9})");
+            REQUIRE(listed.has_value());
+            CHECK(listed->items.size() == 1);
+            const auto changed = platform::readChanges(R"({"events":)" + rows + R"(,"at":9})");
+            REQUIRE(changed.has_value());
+            CHECK(changed->changes.size() == 1);
+        }
+    }
+    SECTION("an answer without rows or with a revision out of range is rejected")
+    {
+        for (const char *at : {"1e300", "-1", "9223372036854775808", "\"9\"", "null"}) {
+            CAPTURE(at);
+            CHECK_FALSE(platform::readListing(R"({"items":[],"hasMore":false,"at":)"
+                                              + std::string(at) + "}"));
+            CHECK_FALSE(platform::readChanges(R"({"events":[],"at":)" + std::string(at) + "}"));
+        }
+        CHECK_FALSE(platform::readListing(R"({"items":7,"hasMore":false,"at":9})"));
+        CHECK_FALSE(platform::readChanges(R"({"events":"x","at":9})"));
+        CHECK_FALSE(platform::readListing(std::string(4000000, '[')).has_value());
+        CHECK_FALSE(platform::readChanges(std::string(4000000, '[')).has_value());
+    }
+    SECTION("a page of odd values leaves the rest of the listing readable")
+    {
+        std::string rows;
+        for (int number = 0; number < 500; ++number)
+            rows += R"({"key":"a/)" + std::to_string(number)
+                + R"(","value":"W1tbW1tbW1tb","revision":4},)";
+        const auto listed = platform::readListing(R"({"items":[)" + rows.substr(0, rows.size() - 1)
+                                                  + R"(],"hasMore":true,"at":9})");
+        REQUIRE(listed.has_value());
+        CHECK(listed->items.size() == 500);
+    }
 }
