Limits follow what a workspace was served, and a starved one need not wait for its prompts

Cause: an open loop: the limit follows what is asked for, not what is served; the target is chosen without regard to it. Change: shareRatio corrects the share over the demand by the square of owed over served, at most 2 either way; a workspace with a ratio of 2 or more goes to the best target that can begin in time, if the one with its prompt can't.

--- a/modules/admission/share/share_state.cpp
+++ b/modules/admission/share/share_state.cpp
@@ -7,6 +7,13 @@
 
 namespace quetzal {
 
+namespace {
+
+/** Bound of the ratio of owed to served tokens, either way. */
+constexpr double maxCorrection = 2.0;
+
+} // namespace
+
 double shareOverDemand(const share_state &share)
 {
     if (!share.fairShareTokens || share.requestedTokens <= 0.0)
@@ -14,9 +21,21 @@
     return *share.fairShareTokens / share.requestedTokens;
 }
 
+double shareRatio(const share_state &share)
+{
+    const double owed = share.fairShareTokens
+        ? std::min(*share.fairShareTokens, share.requestedTokens)
+        : share.requestedTokens;
+    if (owed <= 0.0)
+        return shareOverDemand(share);
+    const double owedOverServed
+        = std::clamp(owed / std::max(share.servedTokens, 1.0), 1.0 / maxCorrection, maxCorrection);
+    return shareOverDemand(share) * owedOverServed * owedOverServed;
+}
+
 double fractionWithinShare(const share_state &share)
 {
-    return std::min(shareOverDemand(share), 1.0);
+    return std::min(shareRatio(share), 1.0);
 }
 
 double shareDraw(std::string_view requestId)
--- a/modules/admission/share/share_state.h
+++ b/modules/admission/share/share_state.h
@@ -24,6 +24,15 @@
  */
 double shareOverDemand(const share_state &share);
 
+/**
+ * Returns how much a workspace is owed: shareOverDemand(), corrected by what it was really served.
+ *
+ * Less than 1 means that it requests more than it is owed; the further it was served beyond its
+ * fair share, the less. At 1 and above it is owed all that it requests, or was served too little of
+ * its fair share, for whatever reason.
+ */
+double shareRatio(const share_state &share);
+
 /** Returns which fraction of its requests a workspace has within its fair share; at most 1. */
 double fractionWithinShare(const share_state &share);
 
--- a/modules/forwarding/node/forwarding_node_placement.cpp
+++ b/modules/forwarding/node/forwarding_node_placement.cpp
@@ -20,6 +20,8 @@
 constexpr absl::Duration initialTimePerToken = absl::Microseconds(20);
 /** Engines process prompt tokens faster than the configured rate, which mixes input and output. */
 constexpr double promptToMixedRateRatio = 2.0;
+/** The ratio of a workspace's share from which on its requests need not wait for their prompts. */
+constexpr double minRatioToLeaveCache = 2.0;
 /** The work of a model request in addition to processing its prompt. */
 constexpr absl::Duration modelRequestOverhead = absl::Milliseconds(8);
 
@@ -169,18 +171,23 @@
     const candidate_set candidateSet
         = collectCandidates(request, *service, description, excluded, now);
     const bool isCounted = excluded.empty() && !description.prompt.empty();
-    const auto best = chooseTarget(candidateSet.candidates, m_options.weights);
+    auto best = chooseTarget(candidateSet.candidates, m_options.weights);
     if (!best) {
         if (isCounted && candidateSet.hasBusyTarget)
             m_accounts.onDecided(request.workspace, costInTokens(description), false, now);
         return rejectWithoutCandidate(request, candidateSet, now);
     }
-    const target_candidate &chosen = candidateSet.candidates[*best];
     const share_state share = m_accounts.shareOf(request.workspace, m_fleet, now);
     const absl::Duration limit
         = std::min(backlogLimit(share, shareDraw(description.id),
                                 request.matchedRoute->latencyObjective, m_options.limits),
                    request.deadline - now);
+    // Another target processes the prompt again. If many did that, all would lose their caches.
+    const bool mayLeaveCache = shareRatio(share) >= minRatioToLeaveCache;
+    const absl::Duration inTime = std::min(limit, request.matchedRoute->latencyObjective);
+    if (mayLeaveCache && candidateSet.candidates[*best].backlog > inTime)
+        best = chooseTarget(candidateSet.candidates, m_options.weights, inTime).value_or(*best);
+    const target_candidate &chosen = candidateSet.candidates[*best];
     const bool isAccepted = chosen.backlog <= limit;
     if (isCounted)
         m_accounts.onDecided(request.workspace, costInTokens(description), isAccepted, now);
--- a/modules/placement/choice/target_choice.cpp
+++ b/modules/placement/choice/target_choice.cpp
@@ -18,7 +18,7 @@
 }
 
 std::optional<std::size_t> chooseTarget(const std::vector<target_candidate> &candidates,
-                                        const choice_weights &weights)
+                                        const choice_weights &weights, absl::Duration maxBacklog)
 {
     const auto isHealthy = [&](const target_candidate &candidate) {
         return candidate.failures < weights.maxFailures;
@@ -29,6 +29,8 @@
     for (std::size_t index = 0; index < candidates.size(); ++index) {
         if (anyHealthy && !isHealthy(candidates[index]))
             continue;
+        if (candidates[index].backlog > maxBacklog)
+            continue;
         const absl::Duration cost = costOf(candidates[index], weights);
         const bool isBetter = !best || cost < bestCost
             || (cost == bestCost && candidates[index].affinity > candidates[*best].affinity);
--- a/modules/placement/choice/target_choice.h
+++ b/modules/placement/choice/target_choice.h
@@ -57,8 +57,12 @@
 /** Returns the cost of a target for a request; the target with the lowest cost is chosen. */
 absl::Duration costOf(const target_candidate &candidate, const choice_weights &weights);
 
-/** Returns the index of the best candidate; nothing if there are no candidates. */
+/**
+ * Returns the index of the best candidate; nothing if there are no candidates. @param maxBacklog
+ * candidates with more known backlog are left out
+ */
 std::optional<std::size_t> chooseTarget(const std::vector<target_candidate> &candidates,
-                                        const choice_weights &weights);
+                                        const choice_weights &weights,
+                                        absl::Duration maxBacklog = absl::InfiniteDuration());
 
 } // namespace quetzal
