--- a/standins/platform/platform_engine.cpp
+++ b/standins/platform/platform_engine.cpp
@@ -18,7 +18,9 @@
 constexpr int truncatedEvent = 4;
 constexpr std::chrono::milliseconds eventInterval {5};
 constexpr std::chrono::milliseconds slowAnswerStep {20};
-constexpr int slowAnswerSteps = 100;
+constexpr std::chrono::milliseconds slowAnswerTime {2000};
+constexpr std::chrono::milliseconds trickleInterval {100};
+constexpr std::size_t largeAnswerBytes = 900000;
 
 void write(tcp::socket &socket, const std::string &bytes)
 {
@@ -37,6 +39,14 @@
     return "id: " + std::to_string(number) + "\ndata: piece" + std::to_string(number) + "\n\n";
 }
 
+/** Returns the number after a prefix of a behaviour, such as 500 of "wait=500"; else nothing. */
+std::optional<int> numberAfter(const std::string &prefix, const std::string &behaviour)
+{
+    if (!behaviour.starts_with(prefix))
+        return std::nullopt;
+    return std::stoi(behaviour.substr(prefix.size()));
+}
+
 /** Returns a refusal with these additional header fields. */
 std::string refusalText(const std::string &fields)
 {
@@ -169,7 +179,8 @@
     const std::string responseHead = "HTTP/1.1 200 OK\r\nX-Server-Stamp: " + m_id
         + "\r\nKeep-Alive: timeout=5\r\n" + (behaviour == "leave" ? "Server-Leaving: 1\r\n" : "")
         + id;
-    const std::string body = "answer to " + request.body();
+    const std::string body = "answer to " + request.body()
+        + std::string(behaviour == "large" ? largeAnswerBytes : 0, '.');
     const std::string fullResponse
         = responseHead + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
     if (behaviour == "lose")
@@ -210,11 +221,29 @@
                   + "Content-Length: 12\r\n\r\nerror's text");
         return true;
     }
+    if (const auto count = numberAfter("trickle=", behaviour)) {
+        trickle(socket, responseHead, *count, arrival);
+        return false;
+    }
     if (behaviour == "events" || behaviour.starts_with("broken")) {
         streamEvents(socket, responseHead, request.head(), arrival);
         return false;
     }
-    for (int step = 0; behaviour == "slow" && step < slowAnswerSteps && !m_isStopping; ++step) {
+    const auto waitMs = numberAfter("wait=", behaviour);
+    const auto loseMs = numberAfter("lose=", behaviour);
+    std::chrono::milliseconds wait {waitMs.value_or(loseMs.value_or(0))};
+    if (behaviour == "slow")
+        wait = slowAnswerTime;
+    if (!waitWhileConnected(socket, wait, arrival) || loseMs)
+        return false;
+    write(socket, fullResponse);
+    return true;
+}
+
+bool platform_engine::waitWhileConnected(tcp::socket &socket, std::chrono::milliseconds time,
+                                         std::size_t arrival)
+{
+    for (auto left = time; left.count() > 0 && !m_isStopping; left -= slowAnswerStep) {
         std::this_thread::sleep_for(slowAnswerStep);
         if (isPeerDisconnected(socket)) {
             const std::lock_guard lock(m_mutex);
@@ -222,10 +251,21 @@
             return false;
         }
     }
-    write(socket, fullResponse);
     return true;
 }
 
+void platform_engine::trickle(tcp::socket &socket, const std::string &head, int count,
+                              std::size_t arrival)
+{
+    write(socket, head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    for (int number = 1; number <= count; ++number) {
+        write(socket, toChunk(eventText(number)));
+        if (!waitWhileConnected(socket, trickleInterval, arrival))
+            return;
+    }
+    write(socket, std::string(lastChunk));
+}
+
 void platform_engine::sendEndlessly(tcp::socket &socket, const std::string &behaviour,
                                     const std::string &idField, std::size_t arrival)
 {
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <mutex>
@@ -42,6 +43,10 @@
  * - truncate: closes the connection 3 bytes before the end of the answer.
  * - extra: sends the answer twice.
  * - slow: answers after 2 s.
+ * - wait=N: answers after N milliseconds.
+ * - lose=N: executes the request and closes the connection without an answer after N milliseconds.
+ * - large: answers with a body of 900 kB.
+ * - trickle=N: streams N events, one every 100 ms.
  * - events: streams 8 events.
  * - broken: streams events, but truncates the fourth and closes the connection, unless the request
  *   resumes a stream with Last-Event-Id.
@@ -79,6 +84,11 @@
                                          const std::string &idField) const;
     /** Answers one request; returns false if the connection must be closed. */
     bool answer(boost::asio::ip::tcp::socket &socket, const request_reader &request);
+    /** Waits this long; returns false as soon as the caller has closed the connection. */
+    bool waitWhileConnected(boost::asio::ip::tcp::socket &socket, std::chrono::milliseconds time,
+                            std::size_t arrival);
+    void trickle(boost::asio::ip::tcp::socket &socket, const std::string &head, int count,
+                 std::size_t arrival);
     /** Writes until the caller closes the connection. */
     void sendEndlessly(boost::asio::ip::tcp::socket &socket, const std::string &behaviour,
                        const std::string &idField, std::size_t arrival);
