Planned stop: one schedule that keeps within any grace period

Cause: the edge process looked at its grace period only after 2.8 s, every 200 ms, and used the period that was configured last. With a grace of 1 or 2 s it ran on until the first tick after 2.8 s, to be killed with its requests open; with 8 s it ended up to 200 ms late; a longer graceS read during a stop moved the end past the kill. The emulator had its own copy of the constants. The node holds it; apps/edge checks it every 20 ms and the emulator uses it. request_lifecycle::start() asks the node instead of taking a flag, so the test of a late request sets a schedule.

--- a/apps/edge/edge_context.h
+++ b/apps/edge/edge_context.h
@@ -27,8 +27,6 @@
     std::size_t maxHeldBytes = 0;
     /** True once a graceful shutdown has begun. */
     bool isStopping = false;
-    /** True once new requests are rejected, because they might outlast the process. */
-    bool isRejectingRequests = false;
     /** Number of the next request; unique within the process. */
     std::uint64_t nextRequest = 1;
 };
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickInterval {200};
+/** Interval during a shutdown; short compared with its steps, even if the grace period is short. */
+constexpr std::chrono::milliseconds shutdownTickInterval {20};
 /** Interval between checks of the settings file, which may change without a signal. */
 constexpr int ticksPerSettingsCheck = 15;
 constexpr std::uint16_t metricsPort = 9464;
@@ -23,10 +25,6 @@
 constexpr absl::Duration loopDelayLogInterval = absl::Milliseconds(500);
 constexpr int statusUnavailable = 503;
 constexpr int statusOk = 200;
-/** Time during which new requests are still accepted after a shutdown has begun. */
-constexpr absl::Duration acceptAfterStop = absl::Milliseconds(2800);
-/** The process ends this long before its grace period does, even if connections are open. */
-constexpr absl::Duration stopReserve = absl::Milliseconds(250);
 /** Request bodies may occupy at most the memory limit divided by this. */
 constexpr std::size_t heldMemoryDivisor = 4;
 constexpr std::size_t defaultMemoryMegabytes = 256;
@@ -91,6 +89,7 @@
                  .maxHeldBytes = maxHeldBytes(m_settings)}
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
     , m_timer(m_loop)
+    , m_shutdownTimer(m_loop)
     , m_peers(m_loop, m_node,
               {.host = m_settings.callers.host, .port = m_settings.firstInternalPort})
     , m_feed(m_context, m_peers,
@@ -229,16 +228,19 @@
     next.firstInternalPort = m_settings.firstInternalPort;
     m_settings = next;
     m_node.setFleetLimits(fleetLimits(m_settings));
+    m_node.shortenShutdown(m_settings.stopGrace);
 }
 
 void edge_process::beginStop()
 {
-    if (m_stopStartedAt)
+    if (m_context.isStopping)
         return;
-    m_stopStartedAt = edgeNow();
     m_context.isStopping = true;
+    m_node.beginShutdown(shutdown_schedule(edgeNow(), m_settings.stopGrace));
     m_log.line("stopping")
-        .number("openConnections", static_cast<std::int64_t>(m_connections.size()));
+        .number("openConnections", static_cast<std::int64_t>(m_connections.size()))
+        .number("graceMs", absl::ToInt64Milliseconds(m_settings.stopGrace));
+    tickShutdown();
 }
 
 void edge_process::tick()
@@ -248,8 +250,6 @@
     m_pool.closeExpired(now);
     if (++m_tickCount % ticksPerSettingsCheck == 0 && m_readSettings().settings != m_lastRead)
         reload("file");
-    if (m_stopStartedAt)
-        tickShutdown(now);
     m_timer.expires_after(tickInterval);
     m_timer.async_wait([this](const error_code &error) {
         if (!error)
@@ -257,23 +257,35 @@
     });
 }
 
-void edge_process::tickShutdown(absl::Time now)
+void edge_process::tickShutdown()
+{
+    const shutdown_schedule &schedule = *m_node.shutdown();
+    const absl::Time now = edgeNow();
+    if (!schedule.isAccepting(now)) {
+        closeIdleConnections();
+        if (m_connections.empty() || now >= schedule.endsAt()) {
+            m_loop.stop();
+            return;
+        }
+    }
+    m_shutdownTimer.expires_after(shutdownTickInterval);
+    m_shutdownTimer.async_wait([this](const error_code &error) {
+        if (!error)
+            tickShutdown();
+    });
+}
+
+void edge_process::closeIdleConnections()
 {
-    const absl::Duration since = now - *m_stopStartedAt;
-    if (since < acceptAfterStop)
-        return;
-    m_context.isRejectingRequests = true;
     const std::vector<std::shared_ptr<caller_connection>> connections(m_connections.begin(),
                                                                       m_connections.end());
     for (const auto &connection : connections)
         connection->closeIfIdle();
-    if (m_connections.empty() || since > m_settings.stopGrace - stopReserve)
-        m_loop.stop();
 }
 
 bool edge_process::isReady() const
 {
-    return !m_stopStartedAt && m_feed.isComplete();
+    return !m_context.isStopping && m_feed.isComplete();
 }
 
 status_page edge_process::statusPage(const std::string &path)
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -17,7 +17,6 @@
 
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -49,7 +48,9 @@
     void reload(std::string_view cause);
     void beginStop();
     void tick();
-    void tickShutdown(absl::Time now);
+    /** Performs what the shutdown requires now, and repeats that until the process ends. */
+    void tickShutdown();
+    void closeIdleConnections();
     bool isReady() const;
     status_page statusPage(const std::string &path);
     std::string metricsText();
@@ -70,6 +71,7 @@
     edge_context m_context;
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_timer;
+    boost::asio::steady_timer m_shutdownTimer;
     peer_exchange m_peers;
     store_feed m_feed;
     loop_monitor m_loopMonitor;
@@ -79,7 +81,6 @@
     listener m_metricsListener;
     listener m_mirrorListener;
     absl::flat_hash_set<std::shared_ptr<caller_connection>> m_connections;
-    std::optional<absl::Time> m_stopStartedAt;
 };
 
 } // namespace quetzal
--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -51,7 +51,7 @@
     m_log.setRequestId(description->id);
     m_lifecycle.emplace(m_context.node, m_context.nextRequest++, *std::move(description),
                         m_arrivedAt);
-    const request_actions actions = m_lifecycle->start(m_context.isRejectingRequests, now);
+    const request_actions actions = m_lifecycle->start(now);
     if (m_lifecycle->admitted() && !m_lifecycle->isFinished())
         startDeadlineTimer(now);
     performActions(actions);
--- a/bench/emulator/fleet/emulated_fleet.cpp
+++ b/bench/emulator/fleet/emulated_fleet.cpp
@@ -10,8 +10,8 @@
 constexpr std::uint16_t targetPort = 9000;
 /** Interval at which a target retries the write of its record. */
 constexpr absl::Duration recordWriteInterval = absl::Milliseconds(1200);
-/** Maximum duration of a planned shutdown, and how often its end is checked. */
-constexpr absl::Duration shutdownTimeout = absl::Milliseconds(7750);
+/** The grace period of a planned shutdown, and how often its end is checked. */
+constexpr absl::Duration shutdownGrace = absl::Seconds(8);
 constexpr absl::Duration shutdownPollInterval = absl::Milliseconds(200);
 /** Time after which the routers' probes detect a dead connection. */
 constexpr absl::Duration deadConnectionTimeout = absl::Seconds(3);
@@ -165,8 +165,8 @@
     emulated_vm &machine = m_vms[vm];
     if (!machine.router || machine.router->isStopping())
         return;
-    machine.router->startShutdown();
-    killWhenIdle(vm, machine.incarnation, m_events.now() + shutdownTimeout);
+    const absl::Time endsAt = machine.router->startShutdown(shutdownGrace);
+    killWhenIdle(vm, machine.incarnation, endsAt);
 }
 
 void emulated_fleet::killWhenIdle(std::size_t vm, std::uint64_t incarnation, absl::Time deadline)
@@ -177,7 +177,7 @@
             return;
         const absl::Time now = m_events.now();
         const bool isIdle
-            = machine.router->isRejectingRequests() && machine.router->openRequests() == 0;
+            = machine.router->isRejectingRequests(now) && machine.router->openRequests() == 0;
         if (isIdle || now >= deadline)
             killVm(vm);
         else
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -13,8 +13,6 @@
 constexpr absl::Duration connectTimeout = absl::Milliseconds(400);
 /** Maximum time that sent bytes may remain unacknowledged. */
 constexpr absl::Duration unacknowledgedTimeout = absl::Milliseconds(1500);
-/** Time after the start of a shutdown during which new requests are still accepted. */
-constexpr absl::Duration acceptGracePeriod = absl::Milliseconds(2800);
 constexpr absl::Duration loopDelayInterval = absl::Milliseconds(50);
 
 } // namespace
@@ -94,7 +92,7 @@
 
 bool emulated_router::isReady() const
 {
-    return m_isUp && !m_isStopping && m_node.routes()
+    return m_isUp && !isStopping() && m_node.routes()
         && std::all_of(m_mirrors.begin(), m_mirrors.end(),
                        [](const auto &mirror) { return mirror->follower().mirror().isComplete(); });
 }
@@ -239,7 +237,7 @@
     found->second.isRead = true;
     request_lifecycle &lifecycle = *found->second.lifecycle;
     const absl::Time now = m_network.events().now();
-    const request_actions actions = lifecycle.start(m_isRejectingRequests, now);
+    const request_actions actions = lifecycle.start(now);
     const bool isSent = lifecycle.admitted() && !lifecycle.isFinished();
     if (isSent)
         m_network.events().after(lifecycle.deadline() - now, [this, number] {
@@ -427,10 +425,11 @@
     m_openConnections[address] -= std::exchange(m_idleConnections[address], 0);
 }
 
-void emulated_router::startShutdown()
+absl::Time emulated_router::startShutdown(absl::Duration grace)
 {
-    m_isStopping = true;
-    m_network.events().after(acceptGracePeriod, [this] { m_isRejectingRequests = true; });
+    const shutdown_schedule schedule(m_network.events().now(), grace);
+    m_node.beginShutdown(schedule);
+    return schedule.endsAt();
 }
 
 void emulated_router::end()
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -66,9 +66,12 @@
     bool isRunning() const { return m_isUp && !m_isFrozen; }
     /** Returns when the process was last unfrozen; InfinitePast() if never. */
     absl::Time unfrozenAt() const { return m_unfrozenAt; }
-    bool isStopping() const { return m_isStopping; }
+    bool isStopping() const { return m_node.shutdown().has_value(); }
     /** True once a process that shuts down rejects new requests. */
-    bool isRejectingRequests() const { return m_isRejectingRequests; }
+    bool isRejectingRequests(absl::Time now) const
+    {
+        return m_node.shutdown() && !m_node.shutdown()->isAccepting(now);
+    }
     /** Returns the number of requests in progress. */
     std::size_t openRequests() const { return m_requests.size(); }
 
@@ -85,10 +88,10 @@
     /** Must be called when a target closed its connections. */
     void onTargetClosed(const network_address &address);
     /**
-     * Starts a planned shutdown: the router is no longer ready, rejects new requests after a grace
-     * period, and finishes those in progress.
+     * Starts a planned shutdown: the router is no longer ready, rejects new requests after a while,
+     * and finishes those in progress within the grace period. Returns when the process must end.
      */
-    void startShutdown();
+    absl::Time startShutdown(absl::Duration grace);
     /** Runs an action now, or when the process is unfrozen; drops it if the process ended. */
     void runWhenActive(std::function<void()> action);
     void freeze();
@@ -160,8 +163,6 @@
     bool m_isUp = true;
     bool m_isFrozen = false;
     absl::Time m_unfrozenAt = absl::InfinitePast();
-    bool m_isStopping = false;
-    bool m_isRejectingRequests = false;
 };
 
 } // namespace quetzal::bench
--- a/modules/forwarding/forwarding.h
+++ b/modules/forwarding/forwarding.h
@@ -14,3 +14,4 @@
 #include "forwarding/request/attempt_rules.h"
 #include "forwarding/request/request_description.h"
 #include "forwarding/route/route_table.h"
+#include "forwarding/shutdown/shutdown_schedule.h"
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -45,14 +45,11 @@
 {
 }
 
-request_actions request_lifecycle::start(bool isStopping, absl::Time now)
+request_actions request_lifecycle::start(absl::Time now)
 {
     request_actions actions;
-    if (isStopping) {
-        reject({.status = statusUnavailable,
-                .code = result_code::RouterStopping,
-                .retryAfter = retryAfterStopping},
-               actions, now);
+    if (m_node.shutdown() && !m_node.shutdown()->isAccepting(now)) {
+        rejectForShutdown(actions, now);
         return actions;
     }
     auto admission = m_node.admit(m_description, m_arrivedAt);
@@ -312,6 +309,14 @@
     reject(reason, actions, now);
 }
 
+void request_lifecycle::rejectForShutdown(request_actions &actions, absl::Time now)
+{
+    reject({.status = statusUnavailable,
+            .code = result_code::RouterStopping,
+            .retryAfter = retryAfterStopping},
+           actions, now);
+}
+
 void request_lifecycle::reject(const rejection &reason, request_actions &actions, absl::Time now)
 {
     if (m_isHeadRelayed) {
--- a/modules/forwarding/lifecycle/request_lifecycle.h
+++ b/modules/forwarding/lifecycle/request_lifecycle.h
@@ -38,8 +38,8 @@
     request_lifecycle(forwarding_node &node, std::uint64_t number, request_description description,
                       absl::Time arrivedAt);
 
-    /** Starts a request that was read completely; isStopping rejects it because of a shutdown. */
-    request_actions start(bool isStopping, absl::Time now);
+    /** Starts a request that was read completely, or rejects it. */
+    request_actions start(absl::Time now);
     /** Must be called when no connection is available for the last attempt. */
     request_actions onNoConnection(absl::Time now);
     /** Must be called when the last attempt fails before its answer is complete. */
@@ -94,6 +94,8 @@
     request_actions abandonAnswer(absl::Time now);
     void beginStream(request_actions &actions);
     void recordAnswerBegan(request_actions &actions, absl::Time now);
+    /** Rejects the request because the router shuts down and another one can serve it. */
+    void rejectForShutdown(request_actions &actions, absl::Time now);
     /** Ends the request without an answer from a target. */
     void fail(bool timedOut, request_actions &actions, absl::Time now);
     /** Ends the request with the router's own answer, or aborts it after the head was relayed. */
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -51,6 +51,12 @@
     m_retryBudget.setLimits(limits.retries);
 }
 
+void forwarding_node::shortenShutdown(absl::Duration grace)
+{
+    if (m_shutdown)
+        m_shutdown->shorten(grace);
+}
+
 void forwarding_node::applyTarget(const target_record &record, bool wasListedAtStart,
                                   absl::Time now)
 {
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -12,6 +12,7 @@
 #include "forwarding/request/answer_description.h"
 #include "forwarding/request/request_description.h"
 #include "forwarding/route/route_table.h"
+#include "forwarding/shutdown/shutdown_schedule.h"
 #include "placement/cache/prompt_cache_view.h"
 #include "placement/load/target_load.h"
 
@@ -44,6 +45,13 @@
     void setFleetLimits(const fleet_limits &limits);
     const router_group &routers() const { return m_options.routers; }
 
+    /** Starts a graceful shutdown. */
+    void beginShutdown(const shutdown_schedule &schedule) { m_shutdown = schedule; }
+    /** Shortens the grace period of a shutdown in progress, if there is one. */
+    void shortenShutdown(absl::Duration grace);
+    /** Returns the times of the shutdown in progress; nothing before it. */
+    const std::optional<shutdown_schedule> &shutdown() const { return m_shutdown; }
+
     target_directory &directory() { return m_directory; }
     const target_directory &directory() const { return m_directory; }
     /**
@@ -194,6 +202,7 @@
     absl::flat_hash_map<std::string, service_speed> m_speeds;
     absl::flat_hash_map<std::uint64_t, open_request> m_openRequests;
     fleet_view m_fleet;
+    std::optional<shutdown_schedule> m_shutdown;
     workspace_accounts m_accounts;
     /** Prompts that no digest has included yet. */
     std::vector<placed_prompt> m_queuedPrompts;
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -97,7 +97,7 @@
 {
     router testRouter;
     request_lifecycle request = testRouter.request("once");
-    const request_actions first = request.start(false, start);
+    const request_actions first = request.start(start);
     REQUIRE(find<send_request>(first) != nullptr);
     CHECK_FALSE(find<send_request>(first)->isRepeatable);
 
@@ -196,7 +196,7 @@
 {
     router testRouter;
     request_lifecycle request = testRouter.request("once");
-    request.start(false, start);
+    request.start(start);
 
     SECTION("whatever its status")
     {
@@ -230,7 +230,7 @@
 {
     router testRouter;
     request_lifecycle request = testRouter.request("safe");
-    request.start(false, start);
+    request.start(start);
 
     SECTION("is retried after a lost answer, at as many targets as its route allows")
     {
@@ -281,7 +281,7 @@
     SECTION("that is not resumable is aborted when its target fails")
     {
         request_lifecycle request = testRouter.request("stream");
-        request.start(false, start);
+        request.start(start);
         request.onAnswerHead(goodHead, start);
         const request_actions first = request.onAnswerBody("id: 1\n\nid: ", start);
         CHECK(find<begin_stream>(first) != nullptr);
@@ -294,7 +294,7 @@
     SECTION("that is resumable continues after its last complete event")
     {
         request_lifecycle request = testRouter.request("resume");
-        request.start(false, start);
+        request.start(start);
         request.onAnswerHead(goodHead, start);
         CHECK(passedText(request.onAnswerBody("id: 1\n\nid: ", start)) == "id: 1\n\n");
         const request_actions again = request.onSendFailed(lost, start);
@@ -312,7 +312,7 @@
     SECTION("is aborted when the target that should continue it fails")
     {
         request_lifecycle request = testRouter.request("resume");
-        request.start(false, start);
+        request.start(start);
         request.onAnswerHead(goodHead, start);
         request.onAnswerBody("id: 1\n\n", start);
         request.onSendFailed(lost, start);
@@ -324,8 +324,9 @@
 TEST_CASE("a request to a router that is shutting down is rejected with a retry time", "[life]")
 {
     router testRouter;
+    testRouter.node.beginShutdown(shutdown_schedule(start, absl::Seconds(8)));
     request_lifecycle request = testRouter.request("once");
-    const request_actions actions = request.start(true, start);
+    const request_actions actions = request.start(start + absl::Milliseconds(2800));
     CHECK(ownStatus(actions) == 503);
     CHECK(find<answer_locally>(actions)->reason.retryAfter.has_value());
     CHECK(request.isFinished());
@@ -344,7 +345,7 @@
     const auto served = [&] {
         return testRouter.node.makeDigest({}, start).workspaces.front().servedTokens;
     };
-    REQUIRE(find<send_request>(request.start(false, start)) != nullptr);
+    REQUIRE(find<send_request>(request.start(start)) != nullptr);
     REQUIRE(served() == 500);
 
     SECTION("because no connection was left")
@@ -380,7 +381,7 @@
         return sent == nullptr ? std::string() : sent->destination.target;
     };
     request_lifecycle request = testRouter.request("once");
-    const std::string first = sentTo(request.start(false, start));
+    const std::string first = sentTo(request.start(start));
     REQUIRE_FALSE(first.empty());
 
     SECTION("because it leaves, as its answer says")
@@ -390,8 +391,7 @@
         request.onAnswerComplete(start);
         for (int number = 0; number < 4; ++number) {
             request_lifecycle next = testRouter.request("once");
-            const std::string target
-                = sentTo(next.start(false, start + absl::Milliseconds(700) * number));
+            const std::string target = sentTo(next.start(start + absl::Milliseconds(700) * number));
             CHECK_FALSE(target.empty());
             CHECK(target != first);
         }
@@ -408,12 +408,12 @@
         CHECK(ownStatus(request.onAnswerComplete(start)) == 503);
 
         request_lifecycle early = testRouter.request("once");
-        const request_actions rejected = early.start(false, start + absl::Milliseconds(600));
+        const request_actions rejected = early.start(start + absl::Milliseconds(600));
         CHECK(ownStatus(rejected) == 503);
         CHECK(find<answer_locally>(rejected)->reason.retryAfter == absl::Milliseconds(1400));
 
         request_lifecycle late = testRouter.request("once");
-        CHECK_FALSE(sentTo(late.start(false, start + absl::Seconds(2))).empty());
+        CHECK_FALSE(sentTo(late.start(start + absl::Seconds(2))).empty());
     }
 
     SECTION("unless the answer belongs to another request")
@@ -438,7 +438,7 @@
                                .prompt = {{.id = 7, .tokens = 400}, {.id = 8, .tokens = 100}}},
                               start);
     testRouter.node.onLoopDelay(absl::Seconds(1), start + absl::Milliseconds(50));
-    const request_actions actions = request.start(false, start);
+    const request_actions actions = request.start(start);
     CHECK(ownStatus(actions) == 503);
     REQUIRE(find<answer_locally>(actions) != nullptr);
     CHECK(find<answer_locally>(actions)->reason.code == result_code::RouterOverloaded);
