Planned stop: requests still open when answers are due are answered

Cause: at the end of the grace period the event loop stopped with requests in progress. Their callers got a bare close, among them those of requests that may not be repeated and were at work at a target (LOST). Change: when answers are due, request_lifecycle::onShutdownDue() ends each request: 502 if it may have run, 503 with Retry-After if it has not, and a stream that has begun is broken off without its last chunk. The same in the emulator.

--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -273,6 +273,13 @@
     close();
 }
 
+void caller_connection::endForShutdown()
+{
+    const auto handler = m_handler;
+    if (handler)
+        handler->onShutdownDue();
+}
+
 bool caller_connection::closeIfIdle()
 {
     if (m_isClosing || !isIdle() || m_reader)
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -263,6 +263,8 @@
     const absl::Time now = edgeNow();
     if (!schedule.isAccepting(now)) {
         closeIdleConnections();
+        if (now >= schedule.answersDueAt())
+            endRequests();
         if (m_connections.empty() || now >= schedule.endsAt()) {
             m_loop.stop();
             return;
@@ -283,6 +285,14 @@
         connection->closeIfIdle();
 }
 
+void edge_process::endRequests()
+{
+    const std::vector<std::shared_ptr<caller_connection>> connections(m_connections.begin(),
+                                                                      m_connections.end());
+    for (const auto &connection : connections)
+        connection->endForShutdown();
+}
+
 bool edge_process::isReady() const
 {
     return !m_context.isStopping && m_feed.isComplete();
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -51,6 +51,8 @@
     /** Performs what the shutdown requires now, and repeats that until the process ends. */
     void tickShutdown();
     void closeIdleConnections();
+    /** Ends the requests in progress, because their answers are due. */
+    void endRequests();
     bool isReady() const;
     status_page statusPage(const std::string &path);
     std::string metricsText();
--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -74,6 +74,12 @@
         performActions(m_lifecycle->onCallerDisconnected(edgeNow()));
 }
 
+void request_handler::onShutdownDue()
+{
+    if (m_lifecycle)
+        performActions(m_lifecycle->onShutdownDue(edgeNow()));
+}
+
 void request_handler::performActions(const request_actions &actions)
 {
     for (const request_action &action : actions)
--- a/apps/edge/request_handler.h
+++ b/apps/edge/request_handler.h
@@ -26,6 +26,8 @@
 
     /** Starts forwarding the request, or rejects it. */
     void start();
+    /** Must be called when the answers of a process that shuts down are due. */
+    void onShutdownDue();
     /** Must be called when the caller closes its connection. */
     void onCallerDisconnected();
 
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -429,9 +429,24 @@
 {
     const shutdown_schedule schedule(m_network.events().now(), grace);
     m_node.beginShutdown(schedule);
+    m_network.events().after(schedule.answersDueAt() - m_network.events().now(),
+                             [this] { runWhenActive([this] { endRequests(); }); });
     return schedule.endsAt();
 }
 
+void emulated_router::endRequests()
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, record] : m_requests) {
+        if (record.lifecycle->admitted())
+            numbers.push_back(number);
+    }
+    for (const std::uint64_t number : numbers) {
+        if (const auto run = m_requests.find(number); run != m_requests.end())
+            perform(number, run->second.lifecycle->onShutdownDue(m_network.events().now()));
+    }
+}
+
 void emulated_router::end()
 {
     m_isUp = false;
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -135,6 +135,8 @@
     absl::Duration readRequest(std::uint64_t number);
     /** Runs an event after those before it if events take processor time, otherwise now. */
     void runEvent(absl::Duration processorTime, std::function<void()> event);
+    /** Ends the requests that were read, because their answers are due. */
+    void endRequests();
     void perform(std::uint64_t number, const request_actions &actions);
     void send(std::uint64_t number, const send_request &action);
     void onReply(std::uint64_t number, std::uint64_t exchange, const exchange_reply &reply);
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -346,10 +346,7 @@
     request_actions actions;
     if (m_isFinished)
         return actions;
-    if (m_isSent) {
-        m_history = withFailure(m_history, attempt_failure::AnswerLost);
-        release(exchange_end::Cancelled, actions, now);
-    }
+    cancelAttempt(actions, now);
     if (m_isHeadRelayed)
         abort("timed_out", actions);
     else
@@ -357,6 +354,29 @@
     return actions;
 }
 
+request_actions request_lifecycle::onShutdownDue(absl::Time now)
+{
+    request_actions actions;
+    if (m_isFinished)
+        return actions;
+    cancelAttempt(actions, now);
+    if (m_isHeadRelayed)
+        abort("router_stopped", actions);
+    else if (m_history.isNotExecuted())
+        rejectForShutdown(actions, now);
+    else
+        fail(false, actions, now);
+    return actions;
+}
+
+void request_lifecycle::cancelAttempt(request_actions &actions, absl::Time now)
+{
+    if (!m_isSent)
+        return;
+    m_history = withFailure(m_history, attempt_failure::AnswerLost);
+    release(exchange_end::Cancelled, actions, now);
+}
+
 request_actions request_lifecycle::onCallerDisconnected(absl::Time now)
 {
     request_actions actions;
--- a/modules/forwarding/lifecycle/request_lifecycle.h
+++ b/modules/forwarding/lifecycle/request_lifecycle.h
@@ -52,6 +52,11 @@
     request_actions onAnswerComplete(absl::Time now);
     /** Must be called when the deadline() of the request has passed. */
     request_actions onDeadline(absl::Time now);
+    /**
+     * Must be called when the answers of a router that shuts down are due. A request that may have
+     * run is not reported as not run.
+     */
+    request_actions onShutdownDue(absl::Time now);
     /** Must be called when the caller disconnects. */
     request_actions onCallerDisconnected(absl::Time now);
 
@@ -87,6 +92,8 @@
                      absl::Time now);
     /** Ends the exchange with the current target. */
     void release(exchange_end end, request_actions &actions, absl::Time now);
+    /** Stops waiting for the answer of the current target, if the request was sent to one. */
+    void cancelAttempt(request_actions &actions, absl::Time now);
     /** Handles a complete answer with a server error: retries, or relays it. */
     void onServerError(request_actions &actions, absl::Time now);
     void relayCompleteAnswer(request_actions &actions, absl::Time now);
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -15,13 +15,14 @@
 std::shared_ptr<const route_table> routes()
 {
     route_table_options options {.version = 1};
-    const auto add = [&](const std::string &name, request_kind kind, bool isResumable) {
+    const auto add = [&](const std::string &name, request_kind kind, bool isResumable,
+                         absl::Duration timeout = absl::Seconds(3)) {
         options.routes.push_back({.name = name,
                                   .host = "h",
                                   .pathPrefix = "/" + name + "/",
                                   .kind = kind,
                                   .services = {{.service = "s"}},
-                                  .timeout = absl::Seconds(3),
+                                  .timeout = timeout,
                                   .maxAttempts = 2,
                                   .isPublic = true,
                                   .isResumable = isResumable});
@@ -30,6 +31,8 @@
     add("once", request_kind::NonIdempotent, false);
     add("stream", request_kind::Stream, false);
     add("resume", request_kind::Stream, true);
+    add("long", request_kind::NonIdempotent, false, absl::Seconds(30));
+    add("longSafe", request_kind::Idempotent, false, absl::Seconds(30));
     options.services = {{.name = "s"}};
     return std::make_shared<const route_table>(std::move(options));
 }
@@ -445,3 +448,48 @@
     CHECK(find<answer_locally>(actions)->reason.retryAfter <= absl::Milliseconds(100));
     CHECK(testRouter.node.makeDigest({}, start).workspaces.empty());
 }
+
+TEST_CASE("a request to a router that is shutting down", "[life]")
+{
+    router testRouter;
+    const shutdown_schedule schedule(start, absl::Seconds(8));
+    const absl::Time due = schedule.answersDueAt();
+    const auto requestAt = [&](const std::string &routeName, absl::Time arrivedAt) {
+        return request_lifecycle {
+            testRouter.node,
+            ++testRouter.number,
+            {.id = "r", .method = "POST", .host = "h", .path = "/" + routeName + "/x"},
+            arrivedAt};
+    };
+
+    SECTION("is answered when answers are due, without a promise that it has not run")
+    {
+        for (const std::string routeName : {"longSafe", "long", "stream", "resume"}) {
+            CAPTURE(routeName);
+            request_lifecycle request = requestAt(routeName, start);
+            request.start(start);
+            const request_actions actions = request.onShutdownDue(due);
+            REQUIRE(find<release_target>(actions) != nullptr);
+            CHECK(find<release_target>(actions)->isCancelled);
+            CHECK(ownStatus(actions) == 502);
+            CHECK_FALSE(find<answer_locally>(actions)->isNotExecuted);
+            CHECK(request.isFinished());
+            CHECK(request.onShutdownDue(due).empty());
+        }
+    }
+
+    SECTION("breaks off a stream that has begun, so that it does not look complete")
+    {
+        for (const std::string routeName : {"stream", "resume"}) {
+            CAPTURE(routeName);
+            request_lifecycle request = requestAt(routeName, start);
+            request.start(start);
+            request.onAnswerHead(goodHead, start);
+            REQUIRE_FALSE(passedText(request.onAnswerBody("id: 1\ndata: a\n\n", start)).empty());
+            const request_actions actions = request.onShutdownDue(due);
+            CHECK(find<abort_answer>(actions) != nullptr);
+            CHECK(find<end_stream>(actions) == nullptr);
+            CHECK(find<answer_locally>(actions) == nullptr);
+        }
+    }
+}
