Planned stop: half received requests are answered 503

Cause: requests whose head or body was still on its way when the process ended got a bare close. Change: when answers are due, they are rejected with 503 and Retry-After, as requests that were not read. Result: edge_test "a request that is half received when the process must end is answered": without the rejection headAnswer := "" and bodyAnswer := ""; with it both get 503 and nothing reaches a target.

--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -30,6 +30,8 @@
 constexpr int statusHeadTooLarge = 431;
 constexpr int statusUnavailable = 503;
 constexpr absl::Duration retryAfterFull = absl::Milliseconds(500);
+/** Short, because another router can answer. */
+constexpr absl::Duration retryAfterStopping = absl::Milliseconds(50);
 
 caller_limits limitsOf(const edge_context &context)
 {
@@ -276,8 +278,14 @@
 void caller_connection::endForShutdown()
 {
     const auto handler = m_handler;
-    if (handler)
+    if (handler) {
         handler->onShutdownDue();
+        return;
+    }
+    if (m_reader && !m_isClosing)
+        rejectUnread({.status = statusUnavailable,
+                      .code = result_code::RouterStopping,
+                      .retryAfter = retryAfterStopping});
 }
 
 bool caller_connection::closeIfIdle()
--- a/apps/edge/caller_connection.h
+++ b/apps/edge/caller_connection.h
@@ -31,7 +31,10 @@
     void finishAnswer(bool close);
     /** Closes the connection at once, so that the current answer does not look complete. */
     void abort();
-    /** Answers the request in progress, if any, because the process is about to end. */
+    /**
+     * Answers the request in progress or half received, if any, because the process is about to
+     * end.
+     */
     void endForShutdown();
     /** Closes the connection if no request is in progress; returns true if it did. */
     bool closeIfIdle();
--- a/tests/edge/edge_shutdown_test.cpp
+++ b/tests/edge/edge_shutdown_test.cpp
@@ -215,6 +215,26 @@
     CHECK(test.sinceStop().count() < absl::ToInt64Milliseconds(grace) + 1500);
 }
 
+TEST_CASE("a request that is half received when the process must end is answered",
+          "[edge][shutdown]")
+{
+    shutdown_fixture test("127.9.7.5", absl::Seconds(2));
+    const std::string request = post("/once/x", "half", "answer", keepOpen);
+    const auto open = test.open("/once/x", "long", longWork);
+    test.beginStop();
+    test.waitUntil(std::chrono::milliseconds(1300));
+    caller halfHead(test.router->address());
+    caller halfBody(test.router->address());
+    halfHead.send(request.substr(0, 30));
+    halfBody.send(request.substr(0, request.size() - 3));
+    const std::string headAnswer = halfHead.readAll();
+    const std::string bodyAnswer = halfBody.readAll();
+    CAPTURE(headAnswer, bodyAnswer);
+    CHECK(isRejection(headAnswer));
+    CHECK(isRejection(bodyAnswer));
+    CHECK(test.runs("half") == 0);
+}
+
 TEST_CASE("a request that crosses the close of an idle connection is answered or does not run",
           "[edge][shutdown]")
 {
