Planned stop: nothing is sent again that can't be answered in time

Cause: a failed attempt late in the grace period was followed by another that the end of the process cut off, and targets were handed the caller's deadline, beyond that end. Change: an attempt that follows another is made only if, after as long as the longest one before took, its answer is still due in time; otherwise the caller gets 503 if nothing ran, the target's own error, or 502. Targets are handed no later deadline than the time at which answers are due. No retry budget is spent on attempts that aren't made.

--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -86,11 +86,15 @@
 {
     m_target = destination.target;
     m_isSent = true;
+    m_sentAt = now;
     m_answerBegan = false;
     m_relay = relay::None;
     m_answerBody.clear();
+    absl::Time deadline = m_admitted->deadline;
+    if (m_node.shutdown())
+        deadline = std::min(deadline, m_node.shutdown()->answersDueAt());
     actions.emplace_back(send_request {.destination = destination,
-                                       .timeLeft = m_admitted->deadline - now,
+                                       .timeLeft = deadline - now,
                                        .lastEventId = m_events.lastId(),
                                        .isRepeatable = m_admitted->matchedRoute->isRepeatable()});
 }
@@ -138,10 +142,16 @@
                                     request_actions &actions, absl::Time now)
 {
     m_history = withFailure(m_history, failure);
+    if (failure == attempt_failure::AnswerLost)
+        m_longestAttempt = std::max(m_longestAttempt, now - m_sentAt);
     actions.emplace_back(record_attempt_failed {
         .target = m_target, .failure = failure, .reason = std::string(reason)});
+    if (!canEndBeforeShutdown(now) && m_history.isNotExecuted()) {
+        rejectForShutdown(actions, now);
+        return;
+    }
     const bool mayPlace = now < m_admitted->deadline
-        && mayRetry(*m_admitted->matchedRoute, m_history)
+        && mayRetry(*m_admitted->matchedRoute, m_history) && canEndBeforeShutdown(now)
         && (!consumesRetryBudget(m_history) || m_node.trySpendRetry(m_admitted->service, now));
     if (mayPlace)
         place(actions, now);
@@ -149,6 +159,19 @@
         fail(false, actions, now);
 }
 
+bool request_lifecycle::canEndBeforeShutdown(absl::Time now) const
+{
+    if (!m_node.shutdown())
+        return true;
+    const absl::Time dueAt = m_node.shutdown()->answersDueAt();
+    return now < dueAt && std::min(m_admitted->deadline, now + expectedTime()) <= dueAt;
+}
+
+absl::Duration request_lifecycle::expectedTime() const
+{
+    return m_longestAttempt;
+}
+
 head_decision request_lifecycle::onAnswerHead(const answer_description &answer, absl::Time now)
 {
     if (m_isFinished || !m_isSent)
@@ -263,7 +286,8 @@
     m_excluded.insert(m_target);
     release(exchange_end::FailedAnswer, actions, now);
     const attempt_history next = withFailure(m_history, attempt_failure::Failed);
-    const bool willRetry = mayRetry(*m_admitted->matchedRoute, next)
+    m_longestAttempt = std::max(m_longestAttempt, now - m_sentAt);
+    const bool willRetry = mayRetry(*m_admitted->matchedRoute, next) && canEndBeforeShutdown(now)
         && m_node.trySpendRetry(m_admitted->service, now);
     m_history = next;
     actions.emplace_back(
--- a/modules/forwarding/lifecycle/request_lifecycle.h
+++ b/modules/forwarding/lifecycle/request_lifecycle.h
@@ -90,6 +90,13 @@
     /** Records a failed attempt, then retries if the rules and the budget allow it. */
     void retryOrFail(attempt_failure failure, std::string_view reason, request_actions &actions,
                      absl::Time now);
+    /**
+     * True if an answer can be expected to be complete before a shutdown in progress ends the
+     * request, or if there is no shutdown.
+     */
+    bool canEndBeforeShutdown(absl::Time now) const;
+    /** Returns how long the answer to another attempt can be expected to take. */
+    absl::Duration expectedTime() const;
     /** Ends the exchange with the current target. */
     void release(exchange_end end, request_actions &actions, absl::Time now);
     /** Stops waiting for the answer of the current target, if the request was sent to one. */
@@ -127,6 +134,9 @@
     /** Splits resumable streams into complete events, so that another target can continue them. */
     event_scanner m_events;
     bool m_isSent = false;
+    absl::Time m_sentAt = absl::InfinitePast();
+    /** The longest time that a target worked on the request without completing an answer. */
+    absl::Duration m_longestAttempt;
     bool m_answerBegan = false;
     /** True once the head of an answer was relayed, after which only body parts may follow. */
     bool m_isHeadRelayed = false;
--- a/tests/edge/edge_shutdown_test.cpp
+++ b/tests/edge/edge_shutdown_test.cpp
@@ -319,6 +319,18 @@
     test.store.setMode(store_mode::Up);
 }
 
+TEST_CASE("a repeatable request is not sent again when its answer can't be complete in time",
+          "[edge][shutdown]")
+{
+    shutdown_fixture test("127.9.7.14", absl::Seconds(2));
+    const auto open = test.open("/safe/x", "lost", "lose=1700");
+    test.beginStop();
+    const std::string answer = open->readAll();
+    CAPTURE(answer);
+    CHECK(isHonestFailure(answer));
+    CHECK(test.runs("lost") == 1);
+}
+
 TEST_CASE("a caller that pauses before it reads receives its whole answer in a planned stop",
           "[edge][shutdown]")
 {
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -462,6 +462,15 @@
             arrivedAt};
     };
 
+    SECTION("is sent with a deadline no later than the end of the shutdown")
+    {
+        testRouter.node.beginShutdown(schedule);
+        request_lifecycle request = requestAt("long", start + absl::Seconds(2));
+        const request_actions actions = request.start(start + absl::Seconds(2));
+        REQUIRE(find<send_request>(actions) != nullptr);
+        CHECK(find<send_request>(actions)->timeLeft == due - (start + absl::Seconds(2)));
+    }
+
     SECTION("is answered when answers are due, without a promise that it has not run")
     {
         for (const std::string routeName : {"longSafe", "long", "stream", "resume"}) {
