Planned stop: requests that would outlast it are rejected at once

Cause: in the first 2.8 s after the signal requests were taken whatever their length, and the long ones cut later. Change: answer_times estimates from above how long complete answers of each route take, in proportion to the tokens of a request. A route with no answer yet is expected to keep its latency objective, so ordinary requests are taken as before.

--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -58,6 +58,10 @@
         return actions;
     }
     m_admitted = std::get<admitted_request>(std::move(admission));
+    if (!canEndBeforeShutdown(now)) {
+        rejectForShutdown(actions, now);
+        return actions;
+    }
     m_node.onAdmitted(*m_admitted, now);
     if (const auto reason = m_node.rejectIfOverloaded(m_description, now))
         reject(*reason, actions, now);
@@ -169,7 +173,7 @@
 
 absl::Duration request_lifecycle::expectedTime() const
 {
-    return m_longestAttempt;
+    return std::max(m_longestAttempt, m_node.expectedAnswerTime(*m_admitted, m_description));
 }
 
 head_decision request_lifecycle::onAnswerHead(const answer_description &answer, absl::Time now)
@@ -268,6 +272,8 @@
         return actions;
     }
     release(exchange_end::Answered, actions, now);
+    if (m_answer.isSuccess())
+        m_node.onAnswerComplete(*m_admitted, m_description, now - m_sentAt);
     if (m_relay == relay::StreamPending)
         beginStream(actions);
     if (m_relay != relay::Streaming) {
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -172,6 +172,19 @@
         speed->second.onPromptProcessed(open->second.missingTokens, time);
 }
 
+void forwarding_node::onAnswerComplete(const admitted_request &request,
+                                       const request_description &description, absl::Duration time)
+{
+    m_answerTimes.onAnswered(request.matchedRoute->name, costInTokens(description), time);
+}
+
+absl::Duration forwarding_node::expectedAnswerTime(const admitted_request &request,
+                                                   const request_description &description) const
+{
+    return m_answerTimes.expected(request.matchedRoute->name, costInTokens(description))
+        .value_or(request.matchedRoute->latencyObjective);
+}
+
 void forwarding_node::onEnded(std::uint64_t number, const std::string &target, exchange_end end,
                               absl::Time now)
 {
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -6,6 +6,7 @@
 #include "budgets/retry/shared_retry_budget.h"
 #include "directory/target/target_directory.h"
 #include "exchange/view/fleet_view.h"
+#include "forwarding/node/answer_times.h"
 #include "forwarding/node/forwarding_types.h"
 #include "forwarding/node/service_speed.h"
 #include "forwarding/node/workspace_accounts.h"
@@ -99,6 +100,12 @@
     void onAnswerBegan(std::uint64_t number, const std::string &target, absl::Time now);
     /** Removes the request from the load of its target; records a failure of the target, if any. */
     void onEnded(std::uint64_t number, const std::string &target, exchange_end end, absl::Time now);
+    /** Records how long a target took for a complete and successful answer to the request. */
+    void onAnswerComplete(const admitted_request &request, const request_description &description,
+                          absl::Duration time);
+    /** Returns the time in which the answer to the request can be expected to be complete. */
+    absl::Duration expectedAnswerTime(const admitted_request &request,
+                                      const request_description &description) const;
     /** Records what a target said of itself with the answer to a request. */
     void onNotice(std::uint64_t number, const std::string &target, const answer_description &answer,
                   absl::Time now);
@@ -202,6 +209,7 @@
     absl::flat_hash_map<std::string, service_speed> m_speeds;
     absl::flat_hash_map<std::uint64_t, open_request> m_openRequests;
     fleet_view m_fleet;
+    answer_times m_answerTimes;
     std::optional<shutdown_schedule> m_shutdown;
     workspace_accounts m_accounts;
     /** Prompts that no digest has included yet. */
--- a/tests/edge/edge_shutdown_test.cpp
+++ b/tests/edge/edge_shutdown_test.cpp
@@ -343,3 +343,21 @@
     CAPTURE(answer.size());
     CHECK(answer.size() > 900000);
 }
+
+TEST_CASE("a request whose answer takes longer than the time left is rejected at once",
+          "[edge][shutdown]")
+{
+    shutdown_fixture test("127.9.7.16", absl::Seconds(3));
+    std::vector<std::unique_ptr<caller>> earlier;
+    for (int number = 0; number < 10; ++number)
+        earlier.push_back(test.open("/once/x", "earlier" + std::to_string(number), "wait=2000"));
+    for (const auto &connection : earlier)
+        REQUIRE(isOk(connection->readUntil("question")));
+    test.beginStop();
+    test.waitUntil(std::chrono::milliseconds(1300));
+    const std::string answer = test.ask("/once/x", "late", "wait=2000");
+    CAPTURE(answer);
+    CHECK(isRejection(answer));
+    CHECK(test.runs("late") == 0);
+    CHECK(isOk(test.ask("/safe/x", "short", "answer")));
+}
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -461,6 +461,56 @@
             {.id = "r", .method = "POST", .host = "h", .path = "/" + routeName + "/x"},
             arrivedAt};
     };
+    /** Completes requests that each take this long. */
+    const auto answerEach = [&](const std::string &routeName, absl::Duration time) {
+        for (int round = 0; round < 20; ++round) {
+            request_lifecycle request = requestAt(routeName, start - time);
+            request.start(start - time);
+            request.onAnswerHead(goodHead, start);
+            request.onAnswerComplete(start);
+            REQUIRE(request.isFinished());
+        }
+    };
+
+    SECTION("is sent to a target while the load balancer sends new connections")
+    {
+        answerEach("once", absl::Milliseconds(300));
+        testRouter.node.beginShutdown(schedule);
+        for (const int sinceMs : {0, 1000, 2000, 2790}) {
+            const absl::Time now = start + absl::Milliseconds(sinceMs);
+            request_lifecycle request = requestAt("once", now);
+            CHECK(find<send_request>(request.start(now)) != nullptr);
+            request.onAnswerHead(goodHead, now + absl::Milliseconds(300));
+            CHECK(find<relay_answer>(request.onAnswerComplete(now + absl::Milliseconds(300))));
+        }
+        request_lifecycle late = requestAt("once", schedule.acceptsUntil());
+        CHECK(ownStatus(late.start(schedule.acceptsUntil())) == 503);
+    }
+
+    SECTION("is rejected at once if such answers take longer than the time that is left")
+    {
+        answerEach("long", absl::Seconds(6));
+        testRouter.node.beginShutdown(schedule);
+        request_lifecycle inTime = requestAt("long", start + absl::Seconds(1));
+        CHECK(find<send_request>(inTime.start(start + absl::Seconds(1))) != nullptr);
+        request_lifecycle late = requestAt("long", start + absl::Seconds(2));
+        const request_actions actions = late.start(start + absl::Seconds(2));
+        CHECK(find<send_request>(actions) == nullptr);
+        CHECK(ownStatus(actions) == 503);
+        CHECK(find<answer_locally>(actions)->reason.retryAfter.has_value());
+
+        AND_WHEN("its caller waits no longer than that, it is served")
+        {
+            request_lifecycle brief(testRouter.node, ++testRouter.number,
+                                    {.id = "r",
+                                     .method = "POST",
+                                     .host = "h",
+                                     .path = "/long/x",
+                                     .callerTimeout = absl::Seconds(4)},
+                                    start + absl::Seconds(2));
+            CHECK(find<send_request>(brief.start(start + absl::Seconds(2))) != nullptr);
+        }
+    }
 
     SECTION("is sent with a deadline no later than the end of the shutdown")
     {
@@ -471,6 +521,44 @@
         CHECK(find<send_request>(actions)->timeLeft == due - (start + absl::Seconds(2)));
     }
 
+    SECTION("is sent again only if the answer can be complete in time")
+    {
+        request_lifecycle request = requestAt("longSafe", start);
+        REQUIRE(find<send_request>(request.start(start)) != nullptr);
+        testRouter.node.beginShutdown(schedule);
+
+        SECTION("after a target worked on it for longer than that")
+        {
+            const request_actions after = request.onSendFailed(lost, start + absl::Seconds(5));
+            CHECK(find<send_request>(after) == nullptr);
+            CHECK(ownStatus(after) == 502);
+        }
+
+        SECTION("after a target failed it")
+        {
+            request.onAnswerHead(failedHead, start + absl::Seconds(5));
+            const request_actions after = request.onAnswerComplete(start + absl::Seconds(5));
+            CHECK(find<send_request>(after) == nullptr);
+            CHECK(find<relay_answer>(after) != nullptr);
+        }
+
+        SECTION("after a target refused it, and the caller learns that it has not run")
+        {
+            request.onAnswerHead(refusal, start + absl::Seconds(7));
+            const request_actions after = request.onAnswerComplete(start + absl::Seconds(7));
+            CHECK(find<send_request>(after) == nullptr);
+            CHECK(ownStatus(after) == 503);
+            CHECK(find<answer_locally>(after)->reason.code == result_code::RouterStopping);
+        }
+
+        SECTION("while there is time")
+        {
+            const request_actions after = request.onSendFailed(lost, start + absl::Seconds(2));
+            REQUIRE(find<send_request>(after) != nullptr);
+            CHECK(find<send_request>(after)->timeLeft == due - (start + absl::Seconds(2)));
+        }
+    }
+
     SECTION("is answered when answers are due, without a promise that it has not run")
     {
         for (const std::string routeName : {"longSafe", "long", "stream", "resume"}) {
