Planned stop: a new connection is not closed before its first request

Cause: after 2.8 s idle connections are closed at each tick, also those made a moment ago whose request was on its way. Change: they are left open for 500 ms, in which the request arrives and gets 503 with Retry-After. Result: edge_test "a request that comes some time after its connection...": without the change `CHECK( isRejection(late.readAll()) )` false (closed without an answer); with it 503, and nothing runs.

--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -16,6 +16,8 @@
 constexpr std::chrono::milliseconds tickInterval {200};
 /** Interval during a shutdown; short compared with its steps, even if the grace period is short. */
 constexpr std::chrono::milliseconds shutdownTickInterval {20};
+/** Time for the first request on a new connection to arrive while the process stops. */
+constexpr absl::Duration firstRequestTime = absl::Milliseconds(500);
 /** Interval between checks of the settings file, which may change without a signal. */
 constexpr int ticksPerSettingsCheck = 15;
 constexpr std::uint16_t metricsPort = 9464;
@@ -262,7 +264,7 @@
     const shutdown_schedule &schedule = *m_node.shutdown();
     const absl::Time now = edgeNow();
     if (!schedule.isAccepting(now)) {
-        closeIdleConnections();
+        closeIdleConnections(now);
         if (now >= schedule.answersDueAt())
             endRequests();
         if (m_connections.empty() || now >= schedule.endsAt()) {
@@ -277,12 +279,14 @@
     });
 }
 
-void edge_process::closeIdleConnections()
+void edge_process::closeIdleConnections(absl::Time now)
 {
     const std::vector<std::shared_ptr<caller_connection>> connections(m_connections.begin(),
                                                                       m_connections.end());
-    for (const auto &connection : connections)
-        connection->closeIfIdle();
+    for (const auto &connection : connections) {
+        if (connection->idleSince() + firstRequestTime <= now)
+            connection->closeIfIdle();
+    }
 }
 
 void edge_process::endRequests()
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -50,7 +50,8 @@
     void tick();
     /** Performs what the shutdown requires now, and repeats that until the process ends. */
     void tickShutdown();
-    void closeIdleConnections();
+    /** Closes idle connections, except new ones, whose first request may be on its way. */
+    void closeIdleConnections(absl::Time now);
     /** Ends the requests in progress, because their answers are due. */
     void endRequests();
     bool isReady() const;
--- a/tests/edge/edge_shutdown_test.cpp
+++ b/tests/edge/edge_shutdown_test.cpp
@@ -361,3 +361,17 @@
     CHECK(test.runs("late") == 0);
     CHECK(isOk(test.ask("/safe/x", "short", "answer")));
 }
+
+TEST_CASE("a request that comes some time after its connection is answered late in a planned stop",
+          "[edge][shutdown]")
+{
+    shutdown_fixture test("127.9.7.17", absl::Seconds(4));
+    const auto open = test.open("/once/x", "long", longWork);
+    test.beginStop();
+    test.waitUntil(std::chrono::milliseconds(2850));
+    caller late(test.router->address());
+    std::this_thread::sleep_for(std::chrono::milliseconds(250));
+    late.send(post("/once/x", "late", "answer", keepOpen));
+    CHECK(isRejection(late.readAll()));
+    CHECK(test.runs("late") == 0);
+}
