--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -30,6 +30,8 @@
 constexpr int statusHeadTooLarge = 431;
 constexpr int statusUnavailable = 503;
 constexpr absl::Duration retryAfterFull = absl::Milliseconds(500);
+/** Short, because another router can answer. */
+constexpr absl::Duration retryAfterStopping = absl::Milliseconds(50);
 
 caller_limits limitsOf(const edge_context &context)
 {
@@ -277,6 +279,19 @@
     close();
 }
 
+void caller_connection::endForShutdown()
+{
+    const auto handler = m_handler;
+    if (handler) {
+        handler->onShutdownDue();
+        return;
+    }
+    if (m_reader && !m_isClosing)
+        rejectUnread({.status = statusUnavailable,
+                      .code = result_code::RouterStopping,
+                      .retryAfter = retryAfterStopping});
+}
+
 bool caller_connection::closeIfIdle()
 {
     if (m_isClosing || !isIdle() || m_reader)
--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -52,7 +52,7 @@
     m_lifecycle.emplace(m_context.node, m_context.nextRequest++, *std::move(description),
                         m_arrivedAt);
     m_context.turns.onWork();
-    const request_actions actions = m_lifecycle->start(m_context.isRejectingRequests, now);
+    const request_actions actions = m_lifecycle->start(now);
     if (m_lifecycle->admitted() && !m_lifecycle->isFinished())
         startDeadlineTimer(now);
     performActions(actions);
@@ -75,6 +75,12 @@
         performActions(m_lifecycle->onCallerDisconnected(edgeNow()));
 }
 
+void request_handler::onShutdownDue()
+{
+    if (m_lifecycle)
+        performActions(m_lifecycle->onShutdownDue(edgeNow()));
+}
+
 void request_handler::performActions(const request_actions &actions)
 {
     for (const request_action &action : actions)
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -13,8 +13,6 @@
 constexpr absl::Duration connectTimeout = absl::Milliseconds(400);
 /** Maximum time that sent bytes may remain unacknowledged. */
 constexpr absl::Duration unacknowledgedTimeout = absl::Milliseconds(1500);
-/** Time after the start of a shutdown during which new requests are still accepted. */
-constexpr absl::Duration acceptGracePeriod = absl::Milliseconds(2800);
 /** Bytes of a body that one turn of the event loop reads at most. */
 constexpr std::int64_t bytesPerRead = 8192;
 /** Connections that one turn of the event loop accepts or turns away at most. */
@@ -96,7 +94,7 @@
 
 bool emulated_router::isReady() const
 {
-    return m_isUp && !m_isStopping && m_node.routes()
+    return m_isUp && !isStopping() && m_node.routes()
         && std::all_of(m_mirrors.begin(), m_mirrors.end(),
                        [](const auto &mirror) { return mirror->follower().mirror().isComplete(); });
 }
@@ -275,7 +273,7 @@
     request_lifecycle &lifecycle = *found->second.lifecycle;
     const absl::Time now = m_network.events().now();
     onTurnWork();
-    const request_actions actions = lifecycle.start(m_isRejectingRequests, now);
+    const request_actions actions = lifecycle.start(now);
     const bool isSent = lifecycle.admitted() && !lifecycle.isFinished();
     if (isSent)
         m_network.events().after(lifecycle.deadline() - now, [this, number] {
@@ -466,10 +464,26 @@
     m_openConnections[address] -= std::exchange(m_idleConnections[address], 0);
 }
 
-void emulated_router::startShutdown()
+absl::Time emulated_router::startShutdown(absl::Duration grace)
 {
-    m_isStopping = true;
-    m_network.events().after(acceptGracePeriod, [this] { m_isRejectingRequests = true; });
+    const shutdown_schedule schedule(m_network.events().now(), grace);
+    m_node.beginShutdown(schedule);
+    m_network.events().after(schedule.answersDueAt() - m_network.events().now(),
+                             [this] { runWhenActive([this] { endRequests(); }); });
+    return schedule.endsAt();
+}
+
+void emulated_router::endRequests()
+{
+    std::vector<std::uint64_t> numbers;
+    for (const auto &[number, record] : m_requests) {
+        if (record.lifecycle->admitted())
+            numbers.push_back(number);
+    }
+    for (const std::uint64_t number : numbers) {
+        if (const auto run = m_requests.find(number); run != m_requests.end())
+            perform(number, run->second.lifecycle->onShutdownDue(m_network.events().now()));
+    }
 }
 
 void emulated_router::end()
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -45,14 +45,11 @@
 {
 }
 
-request_actions request_lifecycle::start(bool isStopping, absl::Time now)
+request_actions request_lifecycle::start(absl::Time now)
 {
     request_actions actions;
-    if (isStopping) {
-        reject({.status = statusUnavailable,
-                .code = result_code::RouterStopping,
-                .retryAfter = retryAfterStopping},
-               actions, now);
+    if (m_node.shutdown() && !m_node.shutdown()->isAccepting(now)) {
+        rejectForShutdown(actions, now);
         return actions;
     }
     auto admission = m_node.admit(m_description, m_arrivedAt);
@@ -61,6 +58,10 @@
         return actions;
     }
     m_admitted = std::get<admitted_request>(std::move(admission));
+    if (!canEndBeforeShutdown(now)) {
+        rejectForShutdown(actions, now);
+        return actions;
+    }
     m_node.onAdmitted(*m_admitted, now);
     if (const auto reason = m_node.rejectIfOverloaded())
         reject(*reason, actions, now);
@@ -89,11 +90,15 @@
 {
     m_target = destination.target;
     m_isSent = true;
+    m_sentAt = now;
     m_answerBegan = false;
     m_relay = relay::None;
     m_answerBody.clear();
+    absl::Time deadline = m_admitted->deadline;
+    if (m_node.shutdown())
+        deadline = std::min(deadline, m_node.shutdown()->answersDueAt());
     actions.emplace_back(send_request {.destination = destination,
-                                       .timeLeft = m_admitted->deadline - now,
+                                       .timeLeft = deadline - now,
                                        .lastEventId = m_events.lastId(),
                                        .isRepeatable = m_admitted->matchedRoute->isRepeatable()});
 }
@@ -141,10 +146,16 @@
                                     request_actions &actions, absl::Time now)
 {
     m_history = withFailure(m_history, failure);
+    if (failure == attempt_failure::AnswerLost)
+        m_longestAttempt = std::max(m_longestAttempt, now - m_sentAt);
     actions.emplace_back(record_attempt_failed {
         .target = m_target, .failure = failure, .reason = std::string(reason)});
+    if (!canEndBeforeShutdown(now) && m_history.isNotExecuted()) {
+        rejectForShutdown(actions, now);
+        return;
+    }
     const bool mayPlace = now < m_admitted->deadline
-        && mayRetry(*m_admitted->matchedRoute, m_history)
+        && mayRetry(*m_admitted->matchedRoute, m_history) && canEndBeforeShutdown(now)
         && (!consumesRetryBudget(m_history) || m_node.trySpendRetry(m_admitted->service, now));
     if (mayPlace)
         place(actions, now);
@@ -152,6 +163,19 @@
         fail(false, actions, now);
 }
 
+bool request_lifecycle::canEndBeforeShutdown(absl::Time now) const
+{
+    if (!m_node.shutdown())
+        return true;
+    const absl::Time dueAt = m_node.shutdown()->answersDueAt();
+    return now < dueAt && std::min(m_admitted->deadline, now + expectedTime()) <= dueAt;
+}
+
+absl::Duration request_lifecycle::expectedTime() const
+{
+    return std::max(m_longestAttempt, m_node.expectedAnswerTime(*m_admitted, m_description));
+}
+
 head_decision request_lifecycle::onAnswerHead(const answer_description &answer, absl::Time now)
 {
     if (m_isFinished || !m_isSent)
@@ -248,6 +272,8 @@
         return actions;
     }
     release(exchange_end::Answered, actions, now);
+    if (m_answer.isSuccess())
+        m_node.onAnswerComplete(*m_admitted, m_description, now - m_sentAt);
     if (m_relay == relay::StreamPending)
         beginStream(actions);
     if (m_relay != relay::Streaming) {
@@ -266,7 +292,8 @@
     m_excluded.insert(m_target);
     release(exchange_end::FailedAnswer, actions, now);
     const attempt_history next = withFailure(m_history, attempt_failure::Failed);
-    const bool willRetry = mayRetry(*m_admitted->matchedRoute, next)
+    m_longestAttempt = std::max(m_longestAttempt, now - m_sentAt);
+    const bool willRetry = mayRetry(*m_admitted->matchedRoute, next) && canEndBeforeShutdown(now)
         && m_node.trySpendRetry(m_admitted->service, now);
     m_history = next;
     actions.emplace_back(
@@ -312,6 +339,14 @@
     reject(reason, actions, now);
 }
 
+void request_lifecycle::rejectForShutdown(request_actions &actions, absl::Time now)
+{
+    reject({.status = statusUnavailable,
+            .code = result_code::RouterStopping,
+            .retryAfter = retryAfterStopping},
+           actions, now);
+}
+
 void request_lifecycle::reject(const rejection &reason, request_actions &actions, absl::Time now)
 {
     if (m_isHeadRelayed) {
@@ -341,10 +376,7 @@
     request_actions actions;
     if (m_isFinished)
         return actions;
-    if (m_isSent) {
-        m_history = withFailure(m_history, attempt_failure::AnswerLost);
-        release(exchange_end::Cancelled, actions, now);
-    }
+    cancelAttempt(actions, now);
     if (m_isHeadRelayed)
         abort("timed_out", actions);
     else
@@ -352,6 +384,29 @@
     return actions;
 }
 
+request_actions request_lifecycle::onShutdownDue(absl::Time now)
+{
+    request_actions actions;
+    if (m_isFinished)
+        return actions;
+    cancelAttempt(actions, now);
+    if (m_isHeadRelayed)
+        abort("router_stopped", actions);
+    else if (m_history.isNotExecuted())
+        rejectForShutdown(actions, now);
+    else
+        fail(false, actions, now);
+    return actions;
+}
+
+void request_lifecycle::cancelAttempt(request_actions &actions, absl::Time now)
+{
+    if (!m_isSent)
+        return;
+    m_history = withFailure(m_history, attempt_failure::AnswerLost);
+    release(exchange_end::Cancelled, actions, now);
+}
+
 request_actions request_lifecycle::onCallerDisconnected(absl::Time now)
 {
     request_actions actions;
--- a/modules/forwarding/lifecycle/request_lifecycle.h
+++ b/modules/forwarding/lifecycle/request_lifecycle.h
@@ -38,8 +38,8 @@
     request_lifecycle(forwarding_node &node, std::uint64_t number, request_description description,
                       absl::Time arrivedAt);
 
-    /** Starts a request that was read completely; isStopping rejects it because of a shutdown. */
-    request_actions start(bool isStopping, absl::Time now);
+    /** Starts a request that was read completely, or rejects it. */
+    request_actions start(absl::Time now);
     /** Must be called when no connection is available for the last attempt. */
     request_actions onNoConnection(absl::Time now);
     /** Must be called when the last attempt fails before its answer is complete. */
@@ -52,6 +52,11 @@
     request_actions onAnswerComplete(absl::Time now);
     /** Must be called when the deadline() of the request has passed. */
     request_actions onDeadline(absl::Time now);
+    /**
+     * Must be called when the answers of a router that shuts down are due. A request that may have
+     * run is not reported as not run.
+     */
+    request_actions onShutdownDue(absl::Time now);
     /** Must be called when the caller disconnects. */
     request_actions onCallerDisconnected(absl::Time now);
 
@@ -85,8 +90,17 @@
     /** Records a failed attempt, then retries if the rules and the budget allow it. */
     void retryOrFail(attempt_failure failure, std::string_view reason, request_actions &actions,
                      absl::Time now);
+    /**
+     * True if an answer can be expected to be complete before a shutdown in progress ends the
+     * request, or if there is no shutdown.
+     */
+    bool canEndBeforeShutdown(absl::Time now) const;
+    /** Returns how long the answer to another attempt can be expected to take. */
+    absl::Duration expectedTime() const;
     /** Ends the exchange with the current target. */
     void release(exchange_end end, request_actions &actions, absl::Time now);
+    /** Stops waiting for the answer of the current target, if the request was sent to one. */
+    void cancelAttempt(request_actions &actions, absl::Time now);
     /** Handles a complete answer with a server error: retries, or relays it. */
     void onServerError(request_actions &actions, absl::Time now);
     void relayCompleteAnswer(request_actions &actions, absl::Time now);
@@ -94,6 +108,8 @@
     request_actions abandonAnswer(absl::Time now);
     void beginStream(request_actions &actions);
     void recordAnswerBegan(request_actions &actions, absl::Time now);
+    /** Rejects the request because the router shuts down and another one can serve it. */
+    void rejectForShutdown(request_actions &actions, absl::Time now);
     /** Ends the request without an answer from a target. */
     void fail(bool timedOut, request_actions &actions, absl::Time now);
     /** Ends the request with the router's own answer, or aborts it after the head was relayed. */
@@ -118,6 +134,9 @@
     /** Splits resumable streams into complete events, so that another target can continue them. */
     event_scanner m_events;
     bool m_isSent = false;
+    absl::Time m_sentAt = absl::InfinitePast();
+    /** The longest time that a target worked on the request without completing an answer. */
+    absl::Duration m_longestAttempt;
     bool m_answerBegan = false;
     /** True once the head of an answer was relayed, after which only body parts may follow. */
     bool m_isHeadRelayed = false;
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -6,12 +6,14 @@
 #include "budgets/retry/shared_retry_budget.h"
 #include "directory/target/target_directory.h"
 #include "exchange/view/fleet_view.h"
+#include "forwarding/node/answer_times.h"
 #include "forwarding/node/forwarding_types.h"
 #include "forwarding/node/service_speed.h"
 #include "forwarding/node/workspace_accounts.h"
 #include "forwarding/request/answer_description.h"
 #include "forwarding/request/request_description.h"
 #include "forwarding/route/route_table.h"
+#include "forwarding/shutdown/shutdown_schedule.h"
 #include "placement/cache/prompt_cache_view.h"
 #include "placement/load/target_load.h"
 
@@ -44,6 +46,13 @@
     void setFleetLimits(const fleet_limits &limits);
     const router_group &routers() const { return m_options.routers; }
 
+    /** Starts a graceful shutdown. */
+    void beginShutdown(const shutdown_schedule &schedule) { m_shutdown = schedule; }
+    /** Shortens the grace period of a shutdown in progress, if there is one. */
+    void shortenShutdown(absl::Duration grace);
+    /** Returns the times of the shutdown in progress; nothing before it. */
+    const std::optional<shutdown_schedule> &shutdown() const { return m_shutdown; }
+
     target_directory &directory() { return m_directory; }
     const target_directory &directory() const { return m_directory; }
     /**
@@ -97,6 +106,12 @@
     void onAnswerBegan(std::uint64_t number, const std::string &target, absl::Time now);
     /** Removes the request from the load of its target; records a failure of the target, if any. */
     void onEnded(std::uint64_t number, const std::string &target, exchange_end end, absl::Time now);
+    /** Records how long a target took for a complete and successful answer to the request. */
+    void onAnswerComplete(const admitted_request &request, const request_description &description,
+                          absl::Duration time);
+    /** Returns the time in which the answer to the request can be expected to be complete. */
+    absl::Duration expectedAnswerTime(const admitted_request &request,
+                                      const request_description &description) const;
     /** Records what a target said of itself with the answer to a request. */
     void onNotice(std::uint64_t number, const std::string &target, const answer_description &answer,
                   absl::Time now);
@@ -203,6 +218,8 @@
     absl::flat_hash_map<std::string, service_speed> m_speeds;
     absl::flat_hash_map<std::uint64_t, open_request> m_openRequests;
     fleet_view m_fleet;
+    answer_times m_answerTimes;
+    std::optional<shutdown_schedule> m_shutdown;
     workspace_accounts m_accounts;
     /** Prompts that no digest has included yet. */
     std::vector<placed_prompt> m_queuedPrompts;
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -15,13 +15,14 @@
 std::shared_ptr<const route_table> routes()
 {
     route_table_options options {.version = 1};
-    const auto add = [&](const std::string &name, request_kind kind, bool isResumable) {
+    const auto add = [&](const std::string &name, request_kind kind, bool isResumable,
+                         absl::Duration timeout = absl::Seconds(3)) {
         options.routes.push_back({.name = name,
                                   .host = "h",
                                   .pathPrefix = "/" + name + "/",
                                   .kind = kind,
                                   .services = {{.service = "s"}},
-                                  .timeout = absl::Seconds(3),
+                                  .timeout = timeout,
                                   .maxAttempts = 2,
                                   .isPublic = true,
                                   .isResumable = isResumable});
@@ -30,6 +31,8 @@
     add("once", request_kind::NonIdempotent, false);
     add("stream", request_kind::Stream, false);
     add("resume", request_kind::Stream, true);
+    add("long", request_kind::NonIdempotent, false, absl::Seconds(30));
+    add("longSafe", request_kind::Idempotent, false, absl::Seconds(30));
     options.services = {{.name = "s"}};
     return std::make_shared<const route_table>(std::move(options));
 }
@@ -97,7 +100,7 @@
 {
     router testRouter;
     request_lifecycle request = testRouter.request("once");
-    const request_actions first = request.start(false, start);
+    const request_actions first = request.start(start);
     REQUIRE(find<send_request>(first) != nullptr);
     CHECK_FALSE(find<send_request>(first)->isRepeatable);
 
@@ -196,7 +199,7 @@
 {
     router testRouter;
     request_lifecycle request = testRouter.request("once");
-    request.start(false, start);
+    request.start(start);
 
     SECTION("whatever its status")
     {
@@ -230,7 +233,7 @@
 {
     router testRouter;
     request_lifecycle request = testRouter.request("safe");
-    request.start(false, start);
+    request.start(start);
 
     SECTION("is retried after a lost answer, at as many targets as its route allows")
     {
@@ -281,7 +284,7 @@
     SECTION("that is not resumable is aborted when its target fails")
     {
         request_lifecycle request = testRouter.request("stream");
-        request.start(false, start);
+        request.start(start);
         request.onAnswerHead(goodHead, start);
         const request_actions first = request.onAnswerBody("id: 1\n\nid: ", start);
         CHECK(find<begin_stream>(first) != nullptr);
@@ -294,7 +297,7 @@
     SECTION("that is resumable continues after its last complete event")
     {
         request_lifecycle request = testRouter.request("resume");
-        request.start(false, start);
+        request.start(start);
         request.onAnswerHead(goodHead, start);
         CHECK(passedText(request.onAnswerBody("id: 1\n\nid: ", start)) == "id: 1\n\n");
         const request_actions again = request.onSendFailed(lost, start);
@@ -312,7 +315,7 @@
     SECTION("is aborted when the target that should continue it fails")
     {
         request_lifecycle request = testRouter.request("resume");
-        request.start(false, start);
+        request.start(start);
         request.onAnswerHead(goodHead, start);
         request.onAnswerBody("id: 1\n\n", start);
         request.onSendFailed(lost, start);
@@ -324,8 +327,9 @@
 TEST_CASE("a request to a router that is shutting down is rejected with a retry time", "[life]")
 {
     router testRouter;
+    testRouter.node.beginShutdown(shutdown_schedule(start, absl::Seconds(8)));
     request_lifecycle request = testRouter.request("once");
-    const request_actions actions = request.start(true, start);
+    const request_actions actions = request.start(start + absl::Milliseconds(2800));
     CHECK(ownStatus(actions) == 503);
     CHECK(find<answer_locally>(actions)->reason.retryAfter.has_value());
     CHECK(request.isFinished());
@@ -344,7 +348,7 @@
     const auto served = [&] {
         return testRouter.node.makeDigest({}, start).workspaces.front().servedTokens;
     };
-    REQUIRE(find<send_request>(request.start(false, start)) != nullptr);
+    REQUIRE(find<send_request>(request.start(start)) != nullptr);
     REQUIRE(served() == 500);
 
     SECTION("because no connection was left")
@@ -380,7 +384,7 @@
         return sent == nullptr ? std::string() : sent->destination.target;
     };
     request_lifecycle request = testRouter.request("once");
-    const std::string first = sentTo(request.start(false, start));
+    const std::string first = sentTo(request.start(start));
     REQUIRE_FALSE(first.empty());
 
     SECTION("because it leaves, as its answer says")
@@ -390,8 +394,7 @@
         request.onAnswerComplete(start);
         for (int number = 0; number < 4; ++number) {
             request_lifecycle next = testRouter.request("once");
-            const std::string target
-                = sentTo(next.start(false, start + absl::Milliseconds(700) * number));
+            const std::string target = sentTo(next.start(start + absl::Milliseconds(700) * number));
             CHECK_FALSE(target.empty());
             CHECK(target != first);
         }
@@ -408,12 +411,12 @@
         CHECK(ownStatus(request.onAnswerComplete(start)) == 503);
 
         request_lifecycle early = testRouter.request("once");
-        const request_actions rejected = early.start(false, start + absl::Milliseconds(600));
+        const request_actions rejected = early.start(start + absl::Milliseconds(600));
         CHECK(ownStatus(rejected) == 503);
         CHECK(find<answer_locally>(rejected)->reason.retryAfter == absl::Milliseconds(1400));
 
         request_lifecycle late = testRouter.request("once");
-        CHECK_FALSE(sentTo(late.start(false, start + absl::Seconds(2))).empty());
+        CHECK_FALSE(sentTo(late.start(start + absl::Seconds(2))).empty());
     }
 
     SECTION("unless the answer belongs to another request")
@@ -438,10 +441,152 @@
                                .prompt = {{.id = 7, .tokens = 400}, {.id = 8, .tokens = 100}}},
                               start);
     while (!testRouter.node.rejectIfOverloaded()) { }
-    const request_actions actions = request.start(false, start);
+    const request_actions actions = request.start(start);
     CHECK(ownStatus(actions) == 503);
     REQUIRE(find<answer_locally>(actions) != nullptr);
     CHECK(find<answer_locally>(actions)->reason.code == result_code::RouterOverloaded);
     CHECK(find<answer_locally>(actions)->reason.retryAfter <= absl::Milliseconds(100));
     CHECK(testRouter.node.makeDigest({}, start).workspaces.empty());
 }
+
+TEST_CASE("a request to a router that is shutting down", "[life]")
+{
+    router testRouter;
+    const shutdown_schedule schedule(start, absl::Seconds(8));
+    const absl::Time due = schedule.answersDueAt();
+    const auto requestAt = [&](const std::string &routeName, absl::Time arrivedAt) {
+        return request_lifecycle {
+            testRouter.node,
+            ++testRouter.number,
+            {.id = "r", .method = "POST", .host = "h", .path = "/" + routeName + "/x"},
+            arrivedAt};
+    };
+    /** Completes requests that each take this long. */
+    const auto answerEach = [&](const std::string &routeName, absl::Duration time) {
+        for (int round = 0; round < 20; ++round) {
+            request_lifecycle request = requestAt(routeName, start - time);
+            request.start(start - time);
+            request.onAnswerHead(goodHead, start);
+            request.onAnswerComplete(start);
+            REQUIRE(request.isFinished());
+        }
+    };
+
+    SECTION("is sent to a target while the load balancer sends new connections")
+    {
+        answerEach("once", absl::Milliseconds(300));
+        testRouter.node.beginShutdown(schedule);
+        for (const int sinceMs : {0, 1000, 2000, 2790}) {
+            const absl::Time now = start + absl::Milliseconds(sinceMs);
+            request_lifecycle request = requestAt("once", now);
+            CHECK(find<send_request>(request.start(now)) != nullptr);
+            request.onAnswerHead(goodHead, now + absl::Milliseconds(300));
+            CHECK(find<relay_answer>(request.onAnswerComplete(now + absl::Milliseconds(300))));
+        }
+        request_lifecycle late = requestAt("once", schedule.acceptsUntil());
+        CHECK(ownStatus(late.start(schedule.acceptsUntil())) == 503);
+    }
+
+    SECTION("is rejected at once if such answers take longer than the time that is left")
+    {
+        answerEach("long", absl::Seconds(6));
+        testRouter.node.beginShutdown(schedule);
+        request_lifecycle inTime = requestAt("long", start + absl::Seconds(1));
+        CHECK(find<send_request>(inTime.start(start + absl::Seconds(1))) != nullptr);
+        request_lifecycle late = requestAt("long", start + absl::Seconds(2));
+        const request_actions actions = late.start(start + absl::Seconds(2));
+        CHECK(find<send_request>(actions) == nullptr);
+        CHECK(ownStatus(actions) == 503);
+        CHECK(find<answer_locally>(actions)->reason.retryAfter.has_value());
+
+        AND_WHEN("its caller waits no longer than that, it is served")
+        {
+            request_lifecycle brief(testRouter.node, ++testRouter.number,
+                                    {.id = "r",
+                                     .method = "POST",
+                                     .host = "h",
+                                     .path = "/long/x",
+                                     .callerTimeout = absl::Seconds(4)},
+                                    start + absl::Seconds(2));
+            CHECK(find<send_request>(brief.start(start + absl::Seconds(2))) != nullptr);
+        }
+    }
+
+    SECTION("is sent with a deadline no later than the end of the shutdown")
+    {
+        testRouter.node.beginShutdown(schedule);
+        request_lifecycle request = requestAt("long", start + absl::Seconds(2));
+        const request_actions actions = request.start(start + absl::Seconds(2));
+        REQUIRE(find<send_request>(actions) != nullptr);
+        CHECK(find<send_request>(actions)->timeLeft == due - (start + absl::Seconds(2)));
+    }
+
+    SECTION("is sent again only if the answer can be complete in time")
+    {
+        request_lifecycle request = requestAt("longSafe", start);
+        REQUIRE(find<send_request>(request.start(start)) != nullptr);
+        testRouter.node.beginShutdown(schedule);
+
+        SECTION("after a target worked on it for longer than that")
+        {
+            const request_actions after = request.onSendFailed(lost, start + absl::Seconds(5));
+            CHECK(find<send_request>(after) == nullptr);
+            CHECK(ownStatus(after) == 502);
+        }
+
+        SECTION("after a target failed it")
+        {
+            request.onAnswerHead(failedHead, start + absl::Seconds(5));
+            const request_actions after = request.onAnswerComplete(start + absl::Seconds(5));
+            CHECK(find<send_request>(after) == nullptr);
+            CHECK(find<relay_answer>(after) != nullptr);
+        }
+
+        SECTION("after a target refused it, and the caller learns that it has not run")
+        {
+            request.onAnswerHead(refusal, start + absl::Seconds(7));
+            const request_actions after = request.onAnswerComplete(start + absl::Seconds(7));
+            CHECK(find<send_request>(after) == nullptr);
+            CHECK(ownStatus(after) == 503);
+            CHECK(find<answer_locally>(after)->reason.code == result_code::RouterStopping);
+        }
+
+        SECTION("while there is time")
+        {
+            const request_actions after = request.onSendFailed(lost, start + absl::Seconds(2));
+            REQUIRE(find<send_request>(after) != nullptr);
+            CHECK(find<send_request>(after)->timeLeft == due - (start + absl::Seconds(2)));
+        }
+    }
+
+    SECTION("is answered when answers are due, without a promise that it has not run")
+    {
+        for (const std::string routeName : {"longSafe", "long", "stream", "resume"}) {
+            CAPTURE(routeName);
+            request_lifecycle request = requestAt(routeName, start);
+            request.start(start);
+            const request_actions actions = request.onShutdownDue(due);
+            REQUIRE(find<release_target>(actions) != nullptr);
+            CHECK(find<release_target>(actions)->isCancelled);
+            CHECK(ownStatus(actions) == 502);
+            CHECK_FALSE(find<answer_locally>(actions)->isNotExecuted);
+            CHECK(request.isFinished());
+            CHECK(request.onShutdownDue(due).empty());
+        }
+    }
+
+    SECTION("breaks off a stream that has begun, so that it does not look complete")
+    {
+        for (const std::string routeName : {"stream", "resume"}) {
+            CAPTURE(routeName);
+            request_lifecycle request = requestAt(routeName, start);
+            request.start(start);
+            request.onAnswerHead(goodHead, start);
+            REQUIRE_FALSE(passedText(request.onAnswerBody("id: 1\ndata: a\n\n", start)).empty());
+            const request_actions actions = request.onShutdownDue(due);
+            CHECK(find<abort_answer>(actions) != nullptr);
+            CHECK(find<end_stream>(actions) == nullptr);
+            CHECK(find<answer_locally>(actions) == nullptr);
+        }
+    }
+}
