A fair level is never negative

What callers saw: nothing yet; found by the review. With more taken back than accepted within the window, all limits would be negative and idle targets rejected for up to four seconds. Cause: what turns out not to have run is taken back when that is known, when its acceptance may have left the window. Change: the level divides at least 0. Result: tests/forwarding (accounts) passes; without the change its level is negative (by reading; not run on the parent).

--- a/modules/forwarding/node/workspace_accounts.cpp
+++ b/modules/forwarding/node/workspace_accounts.cpp
@@ -5,6 +5,9 @@
 
 #include <absl/container/flat_hash_set.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace quetzal {
 
 namespace {
@@ -60,7 +63,8 @@
     }
     if (servedSum >= requestedSum * servedFractionWithoutLimit)
         return std::nullopt;
-    return fairLevel(std::move(requested), servedSum);
+    // What turned out not to be served may be taken back after its acceptance has left the window.
+    return fairLevel(std::move(requested), std::max(servedSum, 0.0));
 }
 
 share_state workspace_accounts::shareOf(const std::string &workspace, const fleet_view &fleet,
