--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -34,6 +34,28 @@
         CHECK(reading.settings.coldFactor == 1.5);
         CHECK(reading.settings.retryAllowance == 52.0);
     }
+    SECTION("the share of a processor is the quota of each of its cores")
+    {
+        const auto shareWith = [](const std::string &fields) {
+            std::string text = settingsText;
+            text.replace(text.find("memoryMb"), 0, fields);
+            const auto reading = platform::readSettings(text);
+            CHECK(reading.faults.empty());
+            return reading.settings.processorShare;
+        };
+        CHECK(shareWith("cpuQuota: 0.12, cores: 1, ") == Approx(0.12));
+        CHECK(shareWith("cpuQuota: 0.5, cores: 4, ") == Approx(2.0));
+
+        AND_THEN("and a whole core if they say nothing of it")
+        {
+            CHECK(shareWith("") == 1.0);
+            CHECK(shareWith("cpuQuota: null, ") == 1.0);
+            CHECK(shareWith("cpuQuota: 0, ") == 1.0);
+            CHECK(shareWith("cpuQuota: -1, ") == 1.0);
+            CHECK(shareWith("cpuQuota: .nan, ") == 1.0);
+            CHECK(shareWith("cpuQuota: .inf, ") == 1.0);
+        }
+    }
     SECTION("faults name their fields")
     {
         const auto reading = platform::readSettings("nodeName: []\nzone: a\nlisten: 5\n");
