Shares are corrected upwards only, and less than by the square

Cause: found by the review: a workspace that was served what others could not use was punished for it, which lowers what is served, and with it the level; and by calculation the square swings from a dead time of 1.3 s on, which 72 VMs with a lost digest reach. Change: only what was served too little counts, with an exponent of 1.5.

--- a/modules/admission/share/share_state.cpp
+++ b/modules/admission/share/share_state.cpp
@@ -3,14 +3,17 @@
 #include "foundation/hashing/stable_hash.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 namespace quetzal {
 
 namespace {
 
-/** Bound of the ratio of owed to served tokens, either way. */
-constexpr double maxCorrection = 2.0;
+/** Bound of the ratio of owed to served tokens that counts. */
+constexpr double maxOwedOverServed = 2.0;
+/** Above 1 it makes up for what was missed; far above, the shares would swing. */
+constexpr double correctionExponent = 1.5;
 
 } // namespace
 
@@ -29,8 +32,8 @@
     if (owed <= 0.0)
         return shareOverDemand(share);
     const double owedOverServed
-        = std::clamp(owed / std::max(share.servedTokens, 1.0), 1.0 / maxCorrection, maxCorrection);
-    return shareOverDemand(share) * owedOverServed * owedOverServed;
+        = std::clamp(owed / std::max(share.servedTokens, 1.0), 1.0, maxOwedOverServed);
+    return shareOverDemand(share) * std::pow(owedOverServed, correctionExponent);
 }
 
 double fractionWithinShare(const share_state &share)
--- a/modules/admission/share/share_state.h
+++ b/modules/admission/share/share_state.h
@@ -10,7 +10,7 @@
 {
     /** The tokens that the workspace requested. */
     double requestedTokens = 0.0;
-    /** The tokens that were served to the workspace. */
+    /** The tokens of its requests that were accepted and are not known to be unrun. */
     double servedTokens = 0.0;
     /** The max-min fair share; nothing while nearly all demand is served. */
     std::optional<double> fairShareTokens;
@@ -25,11 +25,10 @@
 double shareOverDemand(const share_state &share);
 
 /**
- * Returns how much a workspace is owed: shareOverDemand(), corrected by what it was really served.
+ * Returns how much a workspace is owed: shareOverDemand(), raised if it was served too little.
  *
- * Less than 1 means that it requests more than it is owed; the further it was served beyond its
- * fair share, the less. At 1 and above it is owed all that it requests, or was served too little of
- * its fair share, for whatever reason.
+ * Less than 1 means that it requests more than it is owed. At 1 and above it is owed all that it
+ * requests, or was served too little of its fair share, for whatever reason.
  */
 double shareRatio(const share_state &share);
 
