Connections turned away: a bound on those that linger; the limit refills without work

Cause: found by the review: lingering connections had no bound of their own, and a VM that was idle after a burst went on with what was left of it. A changed quota was ignored without a word.

--- a/apps/edge/connection_rejecter.cpp
+++ b/apps/edge/connection_rejecter.cpp
@@ -8,9 +8,9 @@
 
 using boost::system::error_code;
 
-connection_rejecter::connection_rejecter(boost::asio::io_context &loop, std::string answer)
+connection_rejecter::connection_rejecter(boost::asio::io_context &loop, rejecter_options options)
     : m_timer(loop)
-    , m_answer(std::move(answer))
+    , m_options(std::move(options))
 {
 }
 
@@ -19,8 +19,10 @@
     // The answer fits the empty buffer of a new connection; a caller that is gone needs none.
     error_code ignored;
     socket.non_blocking(true, ignored);
-    socket.send(boost::asio::buffer(m_answer), 0, ignored);
+    socket.send(boost::asio::buffer(m_options.answer), 0, ignored);
     socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    if (m_answered.size() >= m_options.maxOpen / 2)
+        m_closing = std::exchange(m_answered, {});
     m_answered.push_back(std::move(socket));
     scheduleClose();
 }
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -39,6 +39,8 @@
 constexpr int callerDescriptorDivisor = 3;
 /** Above that bound, the number of connections divided by this, plus one, is closed at once. */
 constexpr std::size_t idleCloseDivisor = 8;
+/** Rejected connections may be as many as those of callers divided by this. */
+constexpr std::size_t rejectedConnectionDivisor = 2;
 /** Fraction of the allowed rate of requests to a cold target that is used. */
 constexpr double coldLimitSafetyFactor = 0.9;
 
@@ -68,6 +70,12 @@
     return static_cast<std::size_t>(descriptors / callerDescriptorDivisor);
 }
 
+/** Returns the number of rejected connections that stay open until their callers have read. */
+std::size_t maxRejectedConnections(const edge_settings &settings)
+{
+    return maxCallerConnections(settings) / rejectedConnectionDivisor;
+}
+
 std::size_t maxHeldBytes(const edge_settings &settings)
 {
     const std::size_t megabytes = settings.memoryMegabytes > 0
@@ -108,7 +116,9 @@
           m_loop, m_settings.callers,
           [this](auto socket) { onCallerConnection(std::move(socket)); },
           makeAcceptFailureCallback("callers"))
-    , m_turnedAway(m_loop, platform::rejectionText(forwarding_node::connectionRejection()))
+    , m_rejecter(m_loop,
+                 {.answer = platform::rejectionText(forwarding_node::connectionRejection()),
+                  .maxOpen = maxRejectedConnections(m_settings)})
     , m_readinessListener(
           m_loop, m_settings.readiness,
           makePageCallback([this](const std::string &path) { return statusPage(path); }),
@@ -151,7 +161,7 @@
     m_context.turns.onWork();
     if (!m_node.tryTakeConnection()) {
         m_metrics.onConnectionRejected();
-        m_turnedAway.reject(std::move(socket));
+        m_rejecter.reject(std::move(socket));
         return;
     }
     const auto connection = std::make_shared<caller_connection>(m_context, std::move(socket));
@@ -177,6 +187,7 @@
 void edge_process::onLoopDelay(absl::Duration delay, absl::Time now)
 {
     m_metrics.onLoopDelay(delay);
+    m_turns.onWork();
     if (now >= m_activityLoggedAt + activityLogInterval)
         logActivity(now);
     if (delay < loggedLoopDelay || now < m_loopDelayLoggedAt + loopDelayLogInterval)
@@ -258,12 +269,14 @@
     edge_settings next = reading.settings;
     const bool needsRestart = next.callers != m_settings.callers
         || next.readiness != m_settings.readiness || next.store != m_settings.store
+        || next.processorShare != m_settings.processorShare
         || next.firstInternalPort != m_settings.firstInternalPort;
     if (needsRestart)
         m_log.line("settings_need_restart");
     next.callers = m_settings.callers;
     next.readiness = m_settings.readiness;
     next.store = m_settings.store;
+    next.processorShare = m_settings.processorShare;
     next.firstInternalPort = m_settings.firstInternalPort;
     m_settings = next;
     m_node.setFleetLimits(fleetLimits(m_settings));
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -86,7 +86,7 @@
     absl::Time m_activityLoggedAt = absl::InfinitePast();
     std::int64_t m_datagramsLogged = 0;
     listener m_callerListener;
-    connection_rejecter m_turnedAway;
+    connection_rejecter m_rejecter;
     listener m_readinessListener;
     listener m_metricsListener;
     listener m_mirrorListener;
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -82,7 +82,7 @@
     void onTurnEnded();
     /**
      * Returns the rejection of a request that this router has no processor time for. It does not
-     * count towards the demand of its workspace: that router does which the caller asks next.
+     * count towards the demand of its workspace, since its caller asks again.
      */
     std::optional<rejection> rejectIfOverloaded();
     /** Counts an admitted request towards the retry budget. */
