Reproduce: capacity isn't divided max-min while demand and targets change (known red)

Callers saw: a workspace that waited all through six seconds got less than half of what others got (FAIR). Three groups of workspaces ask for 4 to 12.7 times their usual, one after the other, two of them at a single VM, and a quarter of the targets is down for 4.5 s: 72 VMs, 20 targets, no network.

--- a/bench/emulator/observation/share_meter.cpp
+++ b/bench/emulator/observation/share_meter.cpp
@@ -65,33 +65,70 @@
     return true;
 }
 
+const std::pair<const std::size_t, share_meter::workspace_series> &
+share_meter::bestServed(std::int64_t first) const
+{
+    return *std::max_element(
+        m_workspaces.begin(), m_workspaces.end(), [&](const auto &left, const auto &right) {
+            return sumOf(left.second.served, first) < sumOf(right.second.served, first);
+        });
+}
+
+share_meter::span_usage share_meter::usageOf(const workspace_series &series,
+                                             const workspace_series &best, std::int64_t first)
+{
+    std::int64_t attainable = 0;
+    for (std::int64_t second = first; second < first + spanSeconds; ++second)
+        attainable += std::min(valueAt(series.requested, second), valueAt(best.served, second));
+    return {.requestedTokens = sumOf(series.requested, first),
+            .servedTokens = sumOf(series.served, first),
+            .minimumTokens = attainable / 2 - toleratedRequests * series.largestRequest};
+}
+
 std::vector<share_violation> share_meter::violations(absl::Time from, absl::Time to) const
 {
     std::vector<share_violation> found;
     for (std::int64_t first = secondOf(from); first + spanSeconds <= secondOf(to); ++first) {
-        const auto best = std::max_element(
-            m_workspaces.begin(), m_workspaces.end(), [&](const auto &left, const auto &right) {
-                return sumOf(left.second.served, first) < sumOf(right.second.served, first);
-            });
+        const auto &best = bestServed(first);
         for (const auto &[workspace, series] : m_workspaces) {
             if (!isWaiting(series, first))
                 continue;
-            std::int64_t attainable = 0;
-            for (std::int64_t second = first; second < first + spanSeconds; ++second)
-                attainable += std::min(valueAt(series.requested, second),
-                                       valueAt(best->second.served, second));
-            const std::int64_t served = sumOf(series.served, first);
-            const std::int64_t tolerated = toleratedRequests * series.largestRequest;
-            if (served + tolerated >= attainable / 2)
+            const span_usage usage = usageOf(series, best.second, first);
+            if (usage.servedTokens >= usage.minimumTokens)
                 continue;
             found.push_back({.workspace = workspace,
                              .from = absl::FromUnixSeconds(first),
-                             .requestedTokens = sumOf(series.requested, first),
-                             .servedTokens = served,
-                             .best = best->first,
-                             .bestServedTokens = sumOf(best->second.served, first)});
+                             .requestedTokens = usage.requestedTokens,
+                             .servedTokens = usage.servedTokens,
+                             .best = best.first,
+                             .bestServedTokens = sumOf(best.second.served, first)});
+        }
+    }
+    return found;
+}
+
+std::vector<share_margin> share_meter::margins(absl::Time from, absl::Time to) const
+{
+    absl::btree_map<std::size_t, share_margin> lowest;
+    for (std::int64_t first = secondOf(from); first + spanSeconds <= secondOf(to); ++first) {
+        const auto &best = bestServed(first);
+        for (const auto &[workspace, series] : m_workspaces) {
+            const span_usage usage = usageOf(series, best.second, first);
+            if (!isWaiting(series, first) || usage.minimumTokens <= 0)
+                continue;
+            const double ratio = static_cast<double>(usage.servedTokens)
+                / static_cast<double>(usage.minimumTokens);
+            const auto known = lowest.find(workspace);
+            if (known == lowest.end() || ratio < known->second.ratio)
+                lowest[workspace] = {
+                    .workspace = workspace, .from = absl::FromUnixSeconds(first), .ratio = ratio};
         }
     }
+    std::vector<share_margin> found;
+    for (const auto &[workspace, margin] : lowest)
+        found.push_back(margin);
+    std::sort(found.begin(), found.end(),
+              [](const auto &left, const auto &right) { return left.ratio < right.ratio; });
     return found;
 }
 
--- a/bench/emulator/observation/share_meter.h
+++ b/bench/emulator/observation/share_meter.h
@@ -8,6 +8,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace quetzal::bench {
@@ -27,6 +28,18 @@
     bool operator==(const share_violation &) const = default;
 };
 
+/** How near a workspace that waited all through a span came to being kept short. */
+struct share_margin
+{
+    std::size_t workspace = 0;
+    /** The start of the span. */
+    absl::Time from;
+    /** What it received over the least that it had to receive; below 1 it was kept short. */
+    double ratio = 0.0;
+
+    bool operator==(const share_margin &) const = default;
+};
+
 /**
  * Measures how the tokens of model requests are shared between workspaces, second by second.
  *
@@ -55,6 +68,8 @@
 
     /** Returns the violations in all spans between two times. */
     std::vector<share_violation> violations(absl::Time from, absl::Time to) const;
+    /** Returns the lowest margin of each workspace between two times, the lowest one first. */
+    std::vector<share_margin> margins(absl::Time from, absl::Time to) const;
 
 private:
     /** Tokens by second since the Unix epoch. */
@@ -73,6 +88,19 @@
         std::int64_t tokens = 0;
     };
 
+    /** The tokens of one workspace within one span. */
+    struct span_usage
+    {
+        std::int64_t requestedTokens = 0;
+        std::int64_t servedTokens = 0;
+        /** The least tokens that keep it from being short. */
+        std::int64_t minimumTokens = 0;
+    };
+
+    /** Returns the workspace that received most within the span that starts at a second. */
+    const std::pair<const std::size_t, workspace_series> &bestServed(std::int64_t first) const;
+    static span_usage usageOf(const workspace_series &series, const workspace_series &best,
+                              std::int64_t first);
     static std::int64_t sumOf(const token_series &series, std::int64_t firstSecond);
     bool isWaiting(const workspace_series &series, std::int64_t firstSecond) const;
 
--- a/bench/emulator/target/emulated_target.cpp
+++ b/bench/emulator/target/emulated_target.cpp
@@ -165,8 +165,10 @@
     duration
         += parameters.stepPerThousandTokens * (static_cast<double>(runningTokens()) / thousand);
     duration += absl::Milliseconds(read / parameters.promptTokensPerMs);
+    duration *= m_faults.slowdownFactor;
+    m_busyTime += duration;
     const std::int64_t incarnation = m_incarnation;
-    m_events.after(duration * m_faults.slowdownFactor, [this, incarnation, readTokens] {
+    m_events.after(duration, [this, incarnation, readTokens] {
         if (incarnation != m_incarnation)
             return;
         m_isStepping = false;
--- a/bench/emulator/target/emulated_target.h
+++ b/bench/emulator/target/emulated_target.h
@@ -62,6 +62,8 @@
      * target soon after, and must then comply with its limit.
      */
     void onRecordWritten();
+    /** Returns the time that a model engine has spent, or is about to, in steps. */
+    absl::Duration busyTime() const { return m_busyTime; }
     /** Returns the number of running and queued requests. */
     std::size_t load() const { return m_running.size() + m_queued.size(); }
 
@@ -142,6 +144,7 @@
     bool m_isUp = true;
     bool m_isUnresponsive = false;
     bool m_isStepping = false;
+    absl::Duration m_busyTime;
     work_map m_running;
     std::deque<std::pair<std::uint64_t, work_item>> m_queued;
     /** Identifiers and tokens of cached prompt parts, the most recently used first. */
