Each digest tells the demand of workspaces, not only one in a second

What callers saw: a workspace whose demand grew tenfold got several times its share for more than a second before the other 71 routers heard of it, and the rest waited. Cause: demand was told in load digests only, one each 1.07 s at 72 VMs. Digests of both kinds also tell what was placed, by tokens and work. The load digest stays readable both ways for routers of the version before; the digest of backlogs has a new format, which they pass over.

--- a/modules/exchange/digest/digest_codec.cpp
+++ b/modules/exchange/digest/digest_codec.cpp
@@ -12,7 +12,7 @@
 
 /** The first member of each digest, which tells its kind and version. */
 constexpr std::int64_t loadFormat = 2;
-constexpr std::int64_t backlogFormat = 3;
+constexpr std::int64_t backlogFormat = 5;
 /** Bounds of the numbers, so that sums over all routers do not overflow. */
 constexpr std::int64_t maxBacklogMs = std::int64_t {1} << 40U;
 constexpr std::int64_t maxInFlight = 1000000;
@@ -38,10 +38,10 @@
     return rows;
 }
 
-nlohmann::json workspacesOf(const load_digest &digest)
+nlohmann::json workspacesOf(const std::vector<workspace_digest> &workspaces)
 {
     nlohmann::json rows = nlohmann::json::array();
-    for (const workspace_digest &entry : digest.workspaces)
+    for (const workspace_digest &entry : workspaces)
         rows.push_back({entry.workspace, entry.requestedTokens, entry.servedTokens});
     return rows;
 }
@@ -72,8 +72,9 @@
 nlohmann::json toDocument(const load_digest &digest)
 {
     return nlohmann::json::array({loadFormat, digest.vm, digest.incarnation, digest.sequence,
-                                  targetsOf(digest), workspacesOf(digest), promptsOf(digest),
-                                  digest.lastChangeRevisions});
+                                  targetsOf(digest), workspacesOf(digest.workspaces),
+                                  promptsOf(digest), digest.lastChangeRevisions,
+                                  digest.placed.tokens, digest.placed.workMs});
 }
 
 nlohmann::json toDocument(const backlog_digest &digest)
@@ -81,8 +82,26 @@
     nlohmann::json rows = nlohmann::json::array();
     for (const target_backlog &entry : digest.backlogs)
         rows.push_back({entry.target, entry.backlogMs});
-    return nlohmann::json::array(
-        {backlogFormat, digest.vm, digest.incarnation, digest.sequence, std::move(rows)});
+    return nlohmann::json::array({backlogFormat, digest.vm, digest.incarnation, digest.sequence,
+                                  std::move(rows), workspacesOf(digest.workspaces),
+                                  digest.placed.tokens, digest.placed.workMs});
+}
+
+std::vector<workspace_digest> readWorkspaces(const nlohmann::json &rows)
+{
+    std::vector<workspace_digest> workspaces;
+    for (const nlohmann::json &row : rows)
+        workspaces.push_back(
+            {.workspace = unsignedNumber(row.at(0)).value(),
+             .requestedTokens = wholeNumber(row.at(1), -maxTokens, maxTokens).value(),
+             .servedTokens = wholeNumber(row.at(2), -maxTokens, maxTokens).value()});
+    return workspaces;
+}
+
+placement_digest readPlaced(const nlohmann::json &tokens, const nlohmann::json &workMs)
+{
+    return {.tokens = wholeNumber(tokens, 0, maxTokens).value(),
+            .workMs = wholeNumber(workMs, 0, maxBacklogMs).value()};
 }
 
 load_digest readLoad(const nlohmann::json &document)
@@ -92,7 +111,9 @@
         Targets = FirstSpecific,
         Workspaces,
         Prompts,
-        LastChangeRevisions
+        LastChangeRevisions,
+        PlacedTokens,
+        PlacedWorkMs
     };
     load_digest digest {.vm = document.at(Vm).get<std::string>(),
                         .sequence = unsignedNumber(document.at(Sequence)).value(),
@@ -104,24 +125,32 @@
         digest.targets.push_back({.target = unsignedNumber(row.at(0)).value(),
                                   .backlogMs = wholeNumber(row.at(1), 0, maxBacklogMs).value(),
                                   .inFlight = wholeNumber(row.at(2), 0, maxInFlight).value()});
-    for (const nlohmann::json &row : document.at(Workspaces))
-        digest.workspaces.push_back(
-            {.workspace = unsignedNumber(row.at(0)).value(),
-             .requestedTokens = wholeNumber(row.at(1), -maxTokens, maxTokens).value(),
-             .servedTokens = wholeNumber(row.at(2), -maxTokens, maxTokens).value()});
+    digest.workspaces = readWorkspaces(document.at(Workspaces));
     for (const nlohmann::json &row : document.at(Prompts))
         digest.prompts.push_back(readPrompt(row));
+    // Routers of earlier versions do not tell it.
+    if (document.size() > PlacedWorkMs)
+        digest.placed = readPlaced(document.at(PlacedTokens), document.at(PlacedWorkMs));
     return digest;
 }
 
 backlog_digest readBacklogs(const nlohmann::json &document)
 {
+    enum member : std::size_t
+    {
+        Backlogs = FirstSpecific,
+        Workspaces,
+        PlacedTokens,
+        PlacedWorkMs
+    };
     backlog_digest digest {.vm = document.at(Vm).get<std::string>(),
                            .sequence = unsignedNumber(document.at(Sequence)).value(),
                            .incarnation = unsignedNumber(document.at(Incarnation)).value()};
-    for (const nlohmann::json &row : document.at(FirstSpecific))
+    for (const nlohmann::json &row : document.at(Backlogs))
         digest.backlogs.push_back({.target = unsignedNumber(row.at(0)).value(),
                                    .backlogMs = wholeNumber(row.at(1), 0, maxBacklogMs).value()});
+    digest.workspaces = readWorkspaces(document.at(Workspaces));
+    digest.placed = readPlaced(document.at(PlacedTokens), document.at(PlacedWorkMs));
     return digest;
 }
 
--- a/modules/exchange/digest/load_digest.h
+++ b/modules/exchange/digest/load_digest.h
@@ -37,6 +37,16 @@
     bool operator==(const workspace_digest &) const = default;
 };
 
+/** The model requests that one router placed within the window of the fair shares. */
+struct placement_digest
+{
+    std::int64_t tokens = 0;
+    /** The time for which they occupy targets before their answers begin, in milliseconds. */
+    std::int64_t workMs = 0;
+
+    bool operator==(const placement_digest &) const = default;
+};
+
 /** The shared parts of a prompt that was sent to a target. */
 struct placed_prompt
 {
@@ -62,6 +72,7 @@
     std::vector<target_digest> targets;
     std::vector<workspace_digest> workspaces;
     std::vector<placed_prompt> prompts;
+    placement_digest placed;
 
     bool operator==(const load_digest &) const = default;
 };
@@ -76,7 +87,8 @@
 };
 
 /**
- * The backlogs of one router, sent between its load digests; a target that is not listed has none.
+ * What changes fast at one router, sent between its load digests. A target that is not listed has
+ * no backlog there, a workspace that is not listed requested nothing.
  */
 struct backlog_digest
 {
@@ -85,6 +97,8 @@
     std::uint64_t sequence = 0;
     std::uint64_t incarnation = 0;
     std::vector<target_backlog> backlogs;
+    std::vector<workspace_digest> workspaces;
+    placement_digest placed;
 
     bool operator==(const backlog_digest &) const = default;
 };
--- a/modules/exchange/interval/digest_interval.h
+++ b/modules/exchange/interval/digest_interval.h
@@ -16,7 +16,7 @@
 
 /**
  * Returns the interval at which it sends a digest of either kind. It is shorter, because backlogs
- * change faster than the rest, and a digest of backlogs is small.
+ * and demand change faster than the rest, and a digest of them is small.
  */
 absl::Duration backlogInterval(std::size_t peers);
 
--- a/modules/exchange/view/fleet_view.cpp
+++ b/modules/exchange/view/fleet_view.cpp
@@ -40,6 +40,15 @@
     });
 }
 
+void fleet_view::received_digests::setUsage(const std::vector<workspace_digest> &usage,
+                                            const placement_digest &placements)
+{
+    workspaces.clear();
+    for (const workspace_digest &entry : usage)
+        workspaces[entry.workspace] = entry;
+    placed = placements;
+}
+
 bool fleet_view::apply(const load_digest &digest, absl::Time now)
 {
     forgetSilentRouters(now);
@@ -51,13 +60,11 @@
     known->lastChangeRevisions = digest.lastChangeRevisions;
     known->backlogs.clear();
     known->inFlight.clear();
-    known->workspaces.clear();
     for (const target_digest &entry : digest.targets) {
         known->backlogs[entry.target] = absl::Milliseconds(entry.backlogMs);
         known->inFlight[entry.target] = static_cast<int>(entry.inFlight);
     }
-    for (const workspace_digest &entry : digest.workspaces)
-        known->workspaces[entry.workspace] = entry;
+    known->setUsage(digest.workspaces, digest.placed);
     return true;
 }
 
@@ -70,6 +77,7 @@
     known->backlogs.clear();
     for (const target_backlog &entry : digest.backlogs)
         known->backlogs[entry.target] = absl::Milliseconds(entry.backlogMs);
+    known->setUsage(digest.workspaces, digest.placed);
     return true;
 }
 
@@ -112,6 +120,11 @@
     return sum;
 }
 
+bool fleet_view::areBacklogsCurrent(const received_digests &known, absl::Time now) const
+{
+    return now - known.backlogsReceivedAt <= m_backlogLifetime;
+}
+
 bool fleet_view::isLoadCurrent(const received_digests &known, absl::Time now) const
 {
     return now - known.loadReceivedAt <= m_loadLifetime;
@@ -122,7 +135,7 @@
     workspace_usage sum;
     for (const auto &[vm, known] : m_received) {
         const auto found = known.workspaces.find(workspace);
-        if (!isLoadCurrent(known, now) || found == known.workspaces.end())
+        if (!areBacklogsCurrent(known, now) || found == known.workspaces.end())
             continue;
         sum.requestedTokens += found->second.requestedTokens;
         sum.servedTokens += found->second.servedTokens;
@@ -130,11 +143,23 @@
     return sum;
 }
 
+placement_digest fleet_view::placed(absl::Time now) const
+{
+    placement_digest sum;
+    for (const auto &[vm, known] : m_received) {
+        if (!areBacklogsCurrent(known, now))
+            continue;
+        sum.tokens += known.placed.tokens;
+        sum.workMs += known.placed.workMs;
+    }
+    return sum;
+}
+
 std::vector<name_hash> fleet_view::workspaces(absl::Time now) const
 {
     absl::flat_hash_set<name_hash> names;
     for (const auto &[vm, known] : m_received) {
-        if (!isLoadCurrent(known, now))
+        if (!areBacklogsCurrent(known, now))
             continue;
         for (const auto &[workspace, entry] : known.workspaces)
             names.insert(workspace);
--- a/modules/exchange/view/fleet_view.h
+++ b/modules/exchange/view/fleet_view.h
@@ -51,6 +51,8 @@
     int inFlightBeyond(name_hash target, int perRouter, absl::Time now) const;
     /** Returns the tokens that a workspace requested and received at the other routers. */
     workspace_usage usageOf(name_hash workspace, absl::Time now) const;
+    /** Returns the sum of what the other routers placed. */
+    placement_digest placed(absl::Time now) const;
     /** Returns the workspaces that the other routers reported. */
     std::vector<name_hash> workspaces(absl::Time now) const;
     /**
@@ -72,6 +74,11 @@
         absl::flat_hash_map<name_hash, absl::Duration> backlogs;
         absl::flat_hash_map<name_hash, int> inFlight;
         absl::flat_hash_map<name_hash, workspace_digest> workspaces;
+        placement_digest placed;
+
+        /** Replaces what the workspaces requested and received, and what was placed. */
+        void setUsage(const std::vector<workspace_digest> &usage,
+                      const placement_digest &placements);
     };
 
     /** Removes the digests of routers that are gone. */
@@ -79,6 +86,8 @@
     /** Returns the entry of a digest's sender; null if the digest is out of order. */
     received_digests *entryFor(const std::string &vm, std::uint64_t incarnation,
                                std::uint64_t sequence);
+    /** True if the part that digests of either kind bring is not stale. */
+    bool areBacklogsCurrent(const received_digests &known, absl::Time now) const;
     bool isLoadCurrent(const received_digests &known, absl::Time now) const;
     /** Sums the loads of all routers by target, and sets until when the sums are valid. */
     void sumLoads(absl::Time now) const;
--- a/modules/forwarding/node/forwarding_node_digests.cpp
+++ b/modules/forwarding/node/forwarding_node_digests.cpp
@@ -57,6 +57,7 @@
         if (backlogMs > 0)
             digest.backlogs.push_back({.target = stableHash(target), .backlogMs = backlogMs});
     }
+    digest.workspaces = m_accounts.digest(now);
     return digest;
 }
 
--- a/tests/exchange/exchange_test.cpp
+++ b/tests/exchange/exchange_test.cpp
@@ -23,7 +23,8 @@
             .lastChangeRevisions = {40, 50},
             .targets = {{.target = 11, .backlogMs = 200, .inFlight = 3}},
             .workspaces = {{.workspace = 21, .requestedTokens = 500, .servedTokens = 400}},
-            .prompts = {{.target = 11, .parts = {{.id = 1, .tokens = 2}, {.id = 3, .tokens = 4}}}}};
+            .prompts = {{.target = 11, .parts = {{.id = 1, .tokens = 2}, {.id = 3, .tokens = 4}}}},
+            .placed = {.tokens = 450, .workMs = 30}};
 }
 
 } // namespace
@@ -66,6 +67,8 @@
             [](load_digest &odd, std::int64_t value) { odd.workspaces[0].requestedTokens = value; },
             [](load_digest &odd, std::int64_t value) { odd.workspaces[0].servedTokens = value; },
             [](load_digest &odd, std::int64_t value) { odd.prompts[0].parts[1].tokens = value; },
+            [](load_digest &odd, std::int64_t value) { odd.placed.tokens = value; },
+            [](load_digest &odd, std::int64_t value) { odd.placed.workMs = value; },
             [](load_digest &odd, std::int64_t value) {
                 odd.lastChangeRevisions[1] = value;
             }};
@@ -82,8 +85,9 @@
     SECTION("numbers of another type are rejected")
     {
         nlohmann::json document = nlohmann::json::from_msgpack(bytes);
-        const auto place = GENERATE(as<std::string>(), "/2", "/3", "/4/0/0", "/4/0/1", "/4/0/2",
-                                    "/5/0/0", "/5/0/1", "/6/0/0", "/6/0/1", "/6/0/2", "/7/0");
+        const auto place
+            = GENERATE(as<std::string>(), "/2", "/3", "/4/0/0", "/4/0/1", "/4/0/2", "/5/0/0",
+                       "/5/0/1", "/6/0/0", "/6/0/1", "/6/0/2", "/7/0", "/8", "/9");
         for (const nlohmann::json &odd :
              {nlohmann::json(1e300), nlohmann::json(-1e300), nlohmann::json("7"),
               nlohmann::json(nullptr), nlohmann::json::array({1})}) {
@@ -95,12 +99,27 @@
         }
     }
 
+    SECTION("a router of an earlier version tells nothing of what it placed")
+    {
+        nlohmann::json document = nlohmann::json::from_msgpack(bytes);
+        constexpr std::size_t placedTokens = 8;
+        document.erase(placedTokens + 1);
+        document.erase(placedTokens);
+        std::string encoded;
+        nlohmann::json::to_msgpack(document, encoded);
+        load_digest earlier = digest;
+        earlier.placed = {};
+        CHECK(decodeDigest(encoded) == peer_digest(earlier));
+    }
+
     SECTION("so is a digest of backlogs, which is far smaller")
     {
         const backlog_digest backlogs {.vm = "vm1",
                                        .sequence = 6,
                                        .incarnation = 7,
-                                       .backlogs = {{.target = 11, .backlogMs = 200}}};
+                                       .backlogs = {{.target = 11, .backlogMs = 200}},
+                                       .workspaces = {{.workspace = 21, .requestedTokens = 70}},
+                                       .placed = {.tokens = 60, .workMs = 5}};
         const std::string small = encodeDigest(backlogs);
         CHECK(decodeDigest(small) == peer_digest(backlogs));
         CHECK(small.size() < bytes.size());
@@ -144,21 +163,26 @@
         view.setPeerCount(peers);
         CHECK(view.loadOf(11, start + 2 * backlogInterval(peers)).backlog
               == absl::Milliseconds(400));
-        CHECK(view.usageOf(21, start + 2 * digestInterval(peers)).servedTokens == 800);
+        CHECK(view.usageOf(21, start + 2 * backlogInterval(peers)).servedTokens == 800);
+        CHECK(view.placed(start + 2 * backlogInterval(peers)).tokens == 900);
         CHECK(view.activePeerCount(start + 2 * digestInterval(peers)) == 2);
     }
 
-    SECTION("a digest of backlogs replaces them and leaves the rest")
+    SECTION("a digest of backlogs replaces them and the usage, and leaves the rest")
     {
         CHECK(view.apply(backlog_digest {.vm = "vm1",
                                          .sequence = 2,
                                          .incarnation = 7,
-                                         .backlogs = {{.target = 12, .backlogMs = 50}}},
+                                         .backlogs = {{.target = 12, .backlogMs = 50}},
+                                         .workspaces = {{.workspace = 22, .requestedTokens = 90}},
+                                         .placed = {.tokens = 80, .workMs = 10}},
                          start));
         CHECK(view.loadOf(11, start).backlog == absl::Milliseconds(200));
         CHECK(view.loadOf(12, start).backlog == absl::Milliseconds(50));
         CHECK(view.loadOf(11, start).inFlight == 6);
-        CHECK(view.usageOf(21, start).requestedTokens == 1000);
+        CHECK(view.usageOf(21, start).requestedTokens == 500);
+        CHECK(view.usageOf(22, start).requestedTokens == 90);
+        CHECK(view.placed(start) == placement_digest {.tokens = 530, .workMs = 40});
         CHECK_FALSE(view.apply(digestOf("vm1", 2), start));
     }
 
