A full target has two others that take its prompts before any other does

What callers saw: requests rejected at a target with seconds of work while others were idle. Change: the second and third target by rendezvous order, the same on all routers, cost three and six times the reading. Few targets hold a prompt, and those are the ones that later requests of it find. The test of connections keeps its checks; the requests in flight there have begun their answers now, since six that wait are a reason to take the next target.

--- a/modules/forwarding/node/forwarding_node_placement.cpp
+++ b/modules/forwarding/node/forwarding_node_placement.cpp
@@ -115,7 +115,6 @@
     const std::string key = affinityKey(description.prompt);
     const int permits = fleetColdPermits(service);
     candidate_set candidateSet;
-    std::size_t highestAffinity = 0;
     for (const target_state *state : m_directory.usableTargets(request.service, now)) {
         const std::string &id = state->record.id;
         const bool isCold = isTreatedAsCold(*state, service, now);
@@ -130,12 +129,9 @@
         candidateSet.candidates.push_back(candidateFor(*state, service, description, details, now));
         candidateSet.candidates.back().affinity = rendezvousWeight(key, id);
         candidateSet.details.push_back(details);
-        if (candidateSet.candidates.back().affinity
-            > candidateSet.candidates[highestAffinity].affinity)
-            highestAffinity = candidateSet.candidates.size() - 1;
     }
-    if (!candidateSet.candidates.empty())
-        candidateSet.candidates[highestAffinity].hasHighestAffinity = service.isModelEngine();
+    if (service.isModelEngine())
+        rankByAffinity(candidateSet.candidates);
     return candidateSet;
 }
 
--- a/modules/placement/choice/target_choice.cpp
+++ b/modules/placement/choice/target_choice.cpp
@@ -4,11 +4,27 @@
 
 namespace quetzal {
 
+void rankByAffinity(std::vector<target_candidate> &candidates)
+{
+    std::vector<target_candidate *> order;
+    for (target_candidate &candidate : candidates) {
+        candidate.affinityRank = nearTargets;
+        order.push_back(&candidate);
+    }
+    const std::size_t ranked = std::min(nearTargets, order.size());
+    std::partial_sort(
+        order.begin(), order.begin() + static_cast<std::ptrdiff_t>(ranked), order.end(),
+        [](const auto *left, const auto *right) { return left->affinity > right->affinity; });
+    for (std::size_t rank = 0; rank < ranked; ++rank)
+        order[rank]->affinityRank = rank;
+}
+
 absl::Duration costOf(const target_candidate &candidate, const choice_weights &weights)
 {
     absl::Duration cost = candidate.backlog + candidate.ownWork;
-    if (!candidate.hasHighestAffinity)
-        cost += candidate.repeatedWork * weights.repeatedWork;
+    const bool isNear = candidate.affinityRank < nearTargets;
+    cost += candidate.repeatedWork
+        * (isNear ? weights.repeatedWorkNear[candidate.affinityRank] : weights.repeatedWork);
     cost += candidate.overdue * weights.overdue;
     cost += weights.failure * candidate.failures;
     cost += weights.fullOccupancy * candidate.occupancy;
--- a/modules/placement/choice/target_choice.h
+++ b/modules/placement/choice/target_choice.h
@@ -2,6 +2,7 @@
 
 #include <absl/time/time.h>
 
+#include <array>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -28,16 +29,25 @@
     bool isInOwnDataCentre = false;
     /** The rendezvous-hashing weight of the target for the shared parts of the prompt. */
     std::uint64_t affinity = 0;
-    /** True for the candidate with the highest affinity if the targets cache prompts. */
-    bool hasHighestAffinity = false;
+    /** The number of candidates with a higher affinity, or any number that is not near. */
+    std::size_t affinityRank = 0;
 
     bool operator==(const target_candidate &) const = default;
 };
 
+/** The number of targets whose affinity rank counts. */
+constexpr std::size_t nearTargets = 3;
+
 /** The weights of these properties in the cost of a target. */
 struct choice_weights
 {
-    /** Factor of repeatedWork in the cost; not applied to the candidate of highest affinity. */
+    /**
+     * Factors of repeatedWork in the cost, by affinity rank. The near targets are the same for all
+     * requests that share a prompt part, so that a full target has few others with it in their
+     * caches, and not all of them.
+     */
+    std::array<double, nearTargets> repeatedWorkNear {0.0, 3.0, 6.0};
+    /** The same factor for all other targets. */
     double repeatedWork = 10.0;
     /** Factor of the overdue time in the cost. */
     double overdue = 2.0;
@@ -54,6 +64,9 @@
     bool operator==(const choice_weights &) const = default;
 };
 
+/** Sets the affinity ranks of the candidates. */
+void rankByAffinity(std::vector<target_candidate> &candidates);
+
 /** Returns the cost of a target for a request; the target with the lowest cost is chosen. */
 absl::Duration costOf(const target_candidate &candidate, const choice_weights &weights);
 
--- a/tests/forwarding/forwarding_node_test.cpp
+++ b/tests/forwarding/forwarding_node_test.cpp
@@ -191,6 +191,8 @@
 
         AND_WHEN("another router tells that it uses six, four more than it is guaranteed")
         {
+            for (const auto &[request, target] : first.sent)
+                first.node.onAnswerBegan(request, target, start);
             second.node.onDigest(first.node.makeDigest({}, start), start);
             const auto after = std::get<placement>(second.place(chat("y", "key1", 7, 3000), start));
             CHECK(after.target == before.target);
