Capacity is divided max-min: the level follows from work and targets, and nothing else decides after it

Cause, three parts of one division: (1) the level divided what had been accepted in the last 4 s, so each rejection lowered it and it could not rise; (2) a workspace's fraction was turned into a limit of work at one target, so that what it got depended on that target, not on its share, and what was beyond its share took every idle moment; (3) a window of 4 s counted what was served while there was room. Change: the capacity is the tokens that a unit of placed work brings, times the time of the targets that can be used, raised while they have less work than intended and lowered while they have more. Of what a workspace requests the level is let through, by draw, whatever it was served before; the rest is rejected at once, before any target is looked at. Repeats count as demand and as requests, so they change nothing in the sum. The window is half a second. Plain services know no token shares. Tests: the admission section on limits by ratio is replaced by one on the fraction that is let through (a third of three times the share, whatever was served) and on the capacity; that a starved workspace waits longer is no rule any more, the margins of tests/division ask for more. The division test picks distinct workspaces and has 60 targets now: products of factors and a dozen requests a second and workspace measured chance; its bounds are the same. The lab compares with a capacity without limit.

--- a/apps/edge/request_log.cpp
+++ b/apps/edge/request_log.cpp
@@ -89,6 +89,7 @@
         .text("request", m_requestId)
         .text("route", request.matchedRoute->name)
         .text("workspace", request.workspace)
+        .flag("beyondShare", cause.isBeyondShare)
         .text("bestTarget", cause.target)
         .number("configuration", request.table->version())
         .number("backlogMs", absl::ToInt64Milliseconds(cause.backlog))
--- a/bench/emulator/fleet/emulated_fleet.cpp
+++ b/bench/emulator/fleet/emulated_fleet.cpp
@@ -139,6 +139,7 @@
                  .fleet = m_plan.limits,
                  .weights = m_plan.weights,
                  .limits = m_plan.backlog,
+                 .capacity = m_plan.capacity,
                  .processorShare = m_plan.processor ? m_plan.processor->share : 1.0,
                  .incarnation = machine.incarnation},
         .digestInterval = m_plan.digestInterval,
--- a/bench/emulator/fleet/fleet_plan.h
+++ b/bench/emulator/fleet/fleet_plan.h
@@ -42,6 +42,7 @@
     fleet_limits limits;
     choice_weights weights;
     backlog_limits backlog;
+    capacity_limits capacity;
     absl::Duration intraDataCentreDelay = absl::Microseconds(200);
     absl::Duration interDataCentreDelay = absl::Microseconds(1400);
     /** One-way network delay between callers and routers. */
--- a/bench/lab/experiment.cpp
+++ b/bench/lab/experiment.cpp
@@ -184,7 +184,7 @@
     variant.weights.otherDataCentre
         = milliseconds(reader, "otherDataCentreMs", variant.weights.otherDataCentre);
     variant.backlog.underShare = number(reader, "underShare", variant.backlog.underShare);
-    variant.backlog.overShare = number(reader, "overShare", variant.backlog.overShare);
+    variant.capacity.utilization = number(reader, "utilization", variant.capacity.utilization);
     variant.hasExchange = reader.optionalBoolean("exchange", variant.hasExchange);
     if (const double interval = number(reader, "exchangeMs", 0.0); interval > 0.0)
         variant.digestInterval = absl::Milliseconds(interval);
--- a/bench/lab/experiment.h
+++ b/bench/lab/experiment.h
@@ -19,6 +19,7 @@
     std::string name;
     choice_weights weights;
     backlog_limits backlog;
+    capacity_limits capacity;
     bool hasExchange = true;
     /** The interval between digests; nothing for the interval that the number of peers requires. */
     std::optional<absl::Duration> digestInterval;
--- a/bench/lab/lab_run.cpp
+++ b/bench/lab/lab_run.cpp
@@ -31,6 +31,7 @@
     fleet_plan plan = experiment.fleet;
     plan.weights = variant.weights;
     plan.backlog = variant.backlog;
+    plan.capacity = variant.capacity;
     plan.hasExchange = variant.hasExchange;
     plan.digestInterval = variant.digestInterval;
     plan.lostDigestFraction = variant.lostDigestFraction;
--- a/modules/admission/share/share_state.cpp
+++ b/modules/admission/share/share_state.cpp
@@ -3,17 +3,17 @@
 #include "foundation/hashing/stable_hash.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstdint>
 
 namespace quetzal {
 
 namespace {
 
-/** Bound of the ratio of owed to served tokens that counts. */
-constexpr double maxOwedOverServed = 2.0;
-/** Above 1 it makes up for what was missed; far above, the shares would swing. */
-constexpr double correctionExponent = 1.5;
+constexpr absl::Duration minRetryAfter = absl::Milliseconds(200);
+/** The Retry-After at twice the share. */
+constexpr absl::Duration retryAfterAtTwice = absl::Milliseconds(250);
+/** Demand changes within this time, so a longer wait would be a guess. */
+constexpr absl::Duration maxRetryAfter = absl::Seconds(1);
 
 } // namespace
 
@@ -24,21 +24,17 @@
     return *share.fairShareTokens / share.requestedTokens;
 }
 
-double shareRatio(const share_state &share)
+bool isWithinShare(const share_state &share, double draw)
 {
-    const double owed = share.fairShareTokens
-        ? std::min(*share.fairShareTokens, share.requestedTokens)
-        : share.requestedTokens;
-    if (owed <= 0.0)
-        return shareOverDemand(share);
-    const double owedOverServed
-        = std::clamp(owed / std::max(share.servedTokens, 1.0), 1.0, maxOwedOverServed);
-    return shareOverDemand(share) * std::pow(owedOverServed, correctionExponent);
+    return draw < shareOverDemand(share);
 }
 
-double fractionWithinShare(const share_state &share)
+absl::Duration retryAfterBeyondShare(const share_state &share)
 {
-    return std::min(shareRatio(share), 1.0);
+    const double ratio = shareOverDemand(share);
+    if (ratio <= 0.0)
+        return maxRetryAfter;
+    return std::clamp(retryAfterAtTwice * (1.0 / ratio - 1.0), minRetryAfter, maxRetryAfter);
 }
 
 double shareDraw(std::string_view requestId)
--- a/modules/admission/share/share_state.h
+++ b/modules/admission/share/share_state.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <absl/time/time.h>
+
 #include <optional>
 #include <string_view>
 
@@ -10,30 +12,33 @@
 {
     /** The tokens that the workspace requested. */
     double requestedTokens = 0.0;
-    /** The tokens of its requests that were accepted and are not known to be unrun. */
+    /** The tokens of its requests that were accepted and are not known to be unrun; for the log. */
     double servedTokens = 0.0;
-    /** The max-min fair share; nothing while nearly all demand is served. */
+    /** The max-min fair share; nothing while the capacity covers all demand. */
     std::optional<double> fairShareTokens;
 
     bool operator==(const share_state &) const = default;
 };
 
 /**
- * Returns the ratio of a workspace's fair share to what it requests; 1 while nearly all demand is
- * served.
+ * Returns the ratio of a workspace's fair share to what it requests; 1 while the capacity covers
+ * all demand.
  */
 double shareOverDemand(const share_state &share);
 
 /**
- * Returns how much a workspace is owed: shareOverDemand(), raised if it was served too little.
- *
- * Less than 1 means that it requests more than it is owed. At 1 and above it is owed all that it
- * requests, or was served too little of its fair share, for whatever reason.
+ * Returns whether a request is within its workspace's fair share: of what a workspace requests, its
+ * share is. Repeats count as demand and as requests alike, so they change nothing in the sum.
+ * @param draw a number in [0, 1) that is uniformly distributed over the requests of a workspace
  */
-double shareRatio(const share_state &share);
+bool isWithinShare(const share_state &share, double draw);
 
-/** Returns which fraction of its requests a workspace has within its fair share; at most 1. */
-double fractionWithinShare(const share_state &share);
+/**
+ * Returns the Retry-After of a request beyond the share: the longer, the more its workspace
+ * requests beyond it. A repeat that is likely to be accepted can still be answered in time; one
+ * that is not should come when demand may have changed.
+ */
+absl::Duration retryAfterBeyondShare(const share_state &share);
 
 /**
  * Returns a number in [0, 1) for a request, the same on every router, uniformly distributed over
--- a/modules/admission/share/token_window.h
+++ b/modules/admission/share/token_window.h
@@ -7,15 +7,16 @@
 
 namespace quetzal {
 
-/** Sums tokens over a sliding window, in steps of a quarter of a second. */
+/** Sums tokens over a sliding window, in steps of an eighth of a second. */
 class token_window
 {
 public:
+    static constexpr std::int64_t stepMs = 125;
+    static constexpr std::size_t steps = 4;
     /** The resolution of the window. */
-    static constexpr absl::Duration step = absl::Milliseconds(250);
-    static constexpr std::size_t steps = 16;
-    /** The length of the window. */
-    static constexpr absl::Duration span = absl::Milliseconds(250 * steps);
+    static constexpr absl::Duration step = absl::Milliseconds(stepMs);
+    /** The length of the window: the shorter, the sooner a sudden demand is known. */
+    static constexpr absl::Duration span = absl::Milliseconds(stepMs * steps);
 
     /** Counts tokens at this time. */
     void add(std::int64_t tokens, absl::Time now);
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -32,6 +32,7 @@
     , m_connectionLimiter(turnLimitsOf(m_options.processorShare))
     , m_requestLimiter(turnLimitsOf(m_options.processorShare * requestsPerConnectionTaken))
     , m_retryBudget(m_options.fleet.retries)
+    , m_accounts(m_options.capacity)
 {
 }
 
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -89,8 +89,8 @@
     void onAdmitted(const admitted_request &request, absl::Time now);
     /**
      * Chooses a target that is not in excluded, and counts the request at it under this number.
-     * Rejects the request if no target is available or the backlog exceeds the limit of the
-     * workspace.
+     * Rejects the request if it is beyond the fair share of its workspace, if no target is
+     * available, or if the backlog exceeds the limit.
      */
     std::variant<placement, rejection> place(std::uint64_t number, const admitted_request &request,
                                              const request_description &description,
@@ -161,8 +161,8 @@
     {
         std::vector<target_candidate> candidates;
         std::vector<candidate_details> details;
-        /** True if a target was left out because this router has no connection to it left. */
-        bool hasBusyTarget = false;
+        /** The targets that were left out because this router has no connection to them left. */
+        std::size_t busyTargets = 0;
     };
 
     /** Returns the targets that may receive the request now. */
@@ -171,6 +171,24 @@
                                     const request_description &description,
                                     const absl::flat_hash_set<std::string> &excluded,
                                     absl::Time now);
+    /** Returns the state of all model engines that can be used. */
+    target_pressure modelPressure(absl::Time now) const;
+    /** Returns the share of the workspace of a request; of a plain service, all that it requests.
+     */
+    share_state shareOf(const admitted_request &request, const service_description &service,
+                        absl::Time now);
+    /** Returns the rejection of a request beyond its workspace's share. */
+    static rejection rejectBeyondShare(const share_state &share);
+    /** Returns the backlog of a target above which a request within its share is rejected. */
+    absl::Duration maxBacklog(const admitted_request &request, const share_state &share,
+                              absl::Time now) const;
+    /**
+     * Returns the candidate to take in place of the best one: another one that can begin the
+     * request in time, if the best one can't and the workspace is far within its share.
+     */
+    std::size_t leaveFullTarget(const candidate_set &candidateSet, std::size_t best,
+                                const admitted_request &request, const share_state &share,
+                                absl::Duration limit) const;
     /** Counts the request at the chosen target and returns where to send it. */
     placement recordPlacement(std::uint64_t number, const admitted_request &request,
                               const service_description &service,
--- a/modules/forwarding/node/forwarding_node_digests.cpp
+++ b/modules/forwarding/node/forwarding_node_digests.cpp
@@ -40,6 +40,7 @@
                                   .inFlight = view.load.inFlight()});
     }
     digest.workspaces = m_accounts.digest(now);
+    digest.placed = m_accounts.placed(now);
     const std::size_t includedPrompts = std::min(m_queuedPrompts.size(), maxPromptsPerDigest);
     const auto end = m_queuedPrompts.begin() + static_cast<std::ptrdiff_t>(includedPrompts);
     digest.prompts.assign(m_queuedPrompts.begin(), end);
@@ -58,6 +59,7 @@
             digest.backlogs.push_back({.target = stableHash(target), .backlogMs = backlogMs});
     }
     digest.workspaces = m_accounts.digest(now);
+    digest.placed = m_accounts.placed(now);
     return digest;
 }
 
--- a/modules/forwarding/node/forwarding_node_placement.cpp
+++ b/modules/forwarding/node/forwarding_node_placement.cpp
@@ -122,7 +122,7 @@
             || (isCold && !m_coldLimiter.maySend(id, permits, m_options.routers, now)))
             continue;
         if (isConnectionShareUsed(id, service, now)) {
-            candidateSet.hasBusyTarget = true;
+            ++candidateSet.busyTargets;
             continue;
         }
         candidate_details details {.state = state};
@@ -147,7 +147,7 @@
                                                   const candidate_set &candidateSet,
                                                   absl::Time now) const
 {
-    if (candidateSet.hasBusyTarget)
+    if (candidateSet.busyTargets > 0)
         return {.status = statusUnavailable,
                 .code = result_code::RouterQueueFull,
                 .retryAfter = minRetryAfter};
@@ -156,6 +156,68 @@
             .retryAfter = retryAfterNoTarget(request.service, now)};
 }
 
+target_pressure forwarding_node::modelPressure(absl::Time now) const
+{
+    target_pressure pressure;
+    absl::Duration sum;
+    for (const service_description &service : m_table->services()) {
+        if (!service.isModelEngine())
+            continue;
+        for (const target_state *state : m_directory.usableTargets(service.name, now)) {
+            absl::Duration backlog = m_fleet.loadOf(stableHash(state->record.id), now).backlog;
+            const auto view = m_views.find(state->record.id);
+            if (view != m_views.end()) {
+                if (view->second.load.failures(now) >= m_options.weights.maxFailures)
+                    continue;
+                backlog += view->second.load.backlog(now);
+            }
+            sum += std::min(backlog, m_options.capacity.maxCountedBacklog);
+            ++pressure.targets;
+        }
+    }
+    if (pressure.targets > 0)
+        pressure.meanBacklog = sum / static_cast<double>(pressure.targets);
+    return pressure;
+}
+
+share_state forwarding_node::shareOf(const admitted_request &request,
+                                     const service_description &service, absl::Time now)
+{
+    if (!service.isModelEngine())
+        return {};
+    if (m_accounts.isFairLevelDue(now))
+        m_accounts.updateFairLevel(m_fleet, modelPressure(now), now);
+    return m_accounts.shareOf(request.workspace, m_fleet, now);
+}
+
+rejection forwarding_node::rejectBeyondShare(const share_state &share)
+{
+    return {.status = statusUnavailable,
+            .code = result_code::RouterQueueFull,
+            .retryAfter = retryAfterBeyondShare(share),
+            .overload = overload_cause {.isBeyondShare = true, .share = share}};
+}
+
+absl::Duration forwarding_node::maxBacklog(const admitted_request &request,
+                                           const share_state &share, absl::Time now) const
+{
+    const absl::Duration objective = request.matchedRoute->latencyObjective;
+    return std::min(backlogLimit(share, objective, m_options.limits), request.deadline - now);
+}
+
+std::size_t forwarding_node::leaveFullTarget(const candidate_set &candidateSet, std::size_t best,
+                                             const admitted_request &request,
+                                             const share_state &share, absl::Duration limit) const
+{
+    // Another target processes the prompt again. If many did that, all would lose their caches.
+    if (shareOverDemand(share) < minRatioToLeaveCache)
+        return best;
+    const absl::Duration inTime = std::min(limit, request.matchedRoute->latencyObjective);
+    if (candidateSet.candidates[best].backlog <= inTime)
+        return best;
+    return chooseTarget(candidateSet.candidates, m_options.weights, inTime).value_or(best);
+}
+
 std::variant<placement, rejection>
 forwarding_node::place(std::uint64_t number, const admitted_request &request,
                        const request_description &description,
@@ -164,41 +226,41 @@
     const service_description *service = request.table->service(request.service);
     if (service == nullptr)
         return rejectWithoutCandidate(request, {}, now);
+    const share_state share = shareOf(request, *service, now);
+    // A request that was placed before has been counted in the share.
+    const bool isFirst = excluded.empty();
+    const bool isCounted = isFirst && !description.prompt.empty();
+    const std::int64_t tokens = costInTokens(description);
+    if (isFirst && !isWithinShare(share, shareDraw(description.id))) {
+        m_accounts.onDecided(request.workspace, tokens, false, now);
+        return rejectBeyondShare(share);
+    }
     const candidate_set candidateSet
         = collectCandidates(request, *service, description, excluded, now);
-    const bool isCounted = excluded.empty() && !description.prompt.empty();
-    auto best = chooseTarget(candidateSet.candidates, m_options.weights);
-    if (!best) {
-        if (isCounted && candidateSet.hasBusyTarget)
-            m_accounts.onDecided(request.workspace, costInTokens(description), false, now);
+    const auto cheapest = chooseTarget(candidateSet.candidates, m_options.weights);
+    if (!cheapest) {
+        if (isCounted && candidateSet.busyTargets > 0)
+            m_accounts.onDecided(request.workspace, tokens, false, now);
         return rejectWithoutCandidate(request, candidateSet, now);
     }
-    const share_state share = m_accounts.shareOf(request.workspace, m_fleet, now);
-    const absl::Duration limit
-        = std::min(backlogLimit(share, shareDraw(description.id),
-                                request.matchedRoute->latencyObjective, m_options.limits),
-                   request.deadline - now);
-    // Another target processes the prompt again. If many did that, all would lose their caches.
-    const bool mayLeaveCache = shareRatio(share) >= minRatioToLeaveCache;
-    const absl::Duration inTime = std::min(limit, request.matchedRoute->latencyObjective);
-    if (mayLeaveCache && candidateSet.candidates[*best].backlog > inTime)
-        best = chooseTarget(candidateSet.candidates, m_options.weights, inTime).value_or(*best);
-    const target_candidate &chosen = candidateSet.candidates[*best];
+    const absl::Duration limit = maxBacklog(request, share, now);
+    const std::size_t best = leaveFullTarget(candidateSet, *cheapest, request, share, limit);
+    const target_candidate &chosen = candidateSet.candidates[best];
+    const candidate_details &details = candidateSet.details[best];
     const bool isAccepted = chosen.backlog <= limit;
     if (isCounted)
-        m_accounts.onDecided(request.workspace, costInTokens(description), isAccepted, now);
+        m_accounts.onDecided(request.workspace, tokens, isAccepted, now);
     if (!isAccepted)
         return rejection {.status = statusUnavailable,
                           .code = result_code::RouterQueueFull,
                           .retryAfter = std::max(chosen.backlog - limit / 2, minRetryAfter),
-                          .overload
-                          = overload_cause {.target = chosen.id,
-                                            .backlog = chosen.backlog,
-                                            .peerBacklog = candidateSet.details[*best].peerBacklog,
-                                            .limit = limit,
-                                            .share = share}};
-    placement destination = recordPlacement(number, request, *service, description, chosen,
-                                            candidateSet.details[*best], now);
+                          .overload = overload_cause {.target = chosen.id,
+                                                      .backlog = chosen.backlog,
+                                                      .peerBacklog = details.peerBacklog,
+                                                      .limit = limit,
+                                                      .share = share}};
+    placement destination
+        = recordPlacement(number, request, *service, description, chosen, details, now);
     destination.candidates = candidateSet.candidates.size();
     destination.limit = limit;
     destination.share = share;
@@ -222,6 +284,7 @@
                               .targetStartedAtMs = state.record.startedAtMs};
     view.load.onSent(number, chosen.backlog, chosen.ownWork, now);
     if (view.cache) {
+        m_accounts.onPlaced(costInTokens(description), chosen.ownWork, now);
         view.cache->use(description.prompt);
         queuePromptForDigest(chosen.id, description);
     }
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "admission/capacity/capacity_estimate.h"
 #include "admission/limit/backlog_limit.h"
 #include "budgets/cold/cold_start_limiter.h"
 #include "budgets/retry/shared_retry_budget.h"
@@ -38,6 +39,7 @@
     fleet_limits fleet;
     choice_weights weights;
     backlog_limits limits;
+    capacity_limits capacity;
     /** The cores that this router has, above 0. */
     double processorShare = 1.0;
     /** Distinguishes this run of the router from earlier ones in its digests. */
@@ -47,6 +49,8 @@
 /** The values that led to a rejection for overload. */
 struct overload_cause
 {
+    /** True if the request was beyond its workspace's share; then no target was chosen. */
+    bool isBeyondShare = false;
     /** The target that would have been chosen. */
     std::string target;
     /** The backlog of that target. */
--- a/modules/forwarding/node/workspace_accounts.cpp
+++ b/modules/forwarding/node/workspace_accounts.cpp
@@ -10,12 +10,10 @@
 
 namespace quetzal {
 
-namespace {
-
-/** With this part of all demand served, no workspace is limited. */
-constexpr double servedFractionWithoutLimit = 0.97;
-
-} // namespace
+workspace_accounts::workspace_accounts(capacity_limits limits)
+    : m_limits(limits)
+{
+}
 
 void workspace_accounts::onDecided(const std::string &workspace, std::int64_t tokens,
                                    bool isAccepted, absl::Time now)
@@ -43,7 +41,28 @@
     return usage;
 }
 
-std::optional<double> workspace_accounts::computeFairLevel(const fleet_view &fleet,
+void workspace_accounts::onPlaced(std::int64_t tokens, absl::Duration work, absl::Time now)
+{
+    m_placedTokens.add(tokens, now);
+    m_placedWorkMs.add(absl::ToInt64Milliseconds(work), now);
+}
+
+placement_digest workspace_accounts::placed(absl::Time now) const
+{
+    return {.tokens = m_placedTokens.sum(now), .workMs = m_placedWorkMs.sum(now)};
+}
+
+double workspace_accounts::capacityOf(const fleet_view &fleet, const target_pressure &pressure,
+                                      absl::Time now) const
+{
+    const placement_digest own = placed(now);
+    const placement_digest others = fleet.placed(now);
+    const placed_work all {.tokens = static_cast<double>(own.tokens + others.tokens),
+                           .work = absl::Milliseconds(own.workMs + others.workMs)};
+    return capacityTokens(all, pressure, token_window::span, m_limits);
+}
+
+std::optional<double> workspace_accounts::computeFairLevel(const fleet_view &fleet, double capacity,
                                                            absl::Time now) const
 {
     const std::vector<name_hash> remote = fleet.workspaces(now);
@@ -51,29 +70,24 @@
     for (const auto &[name, entry] : m_accounts)
         names.insert(name);
     std::vector<double> requested;
-    double requestedSum = 0.0;
-    double servedSum = 0.0;
     for (const name_hash name : names) {
         const workspace_usage usage = usageOf(name, fleet, now);
-        if (usage.requestedTokens <= 0)
-            continue;
-        requested.push_back(static_cast<double>(usage.requestedTokens));
-        requestedSum += requested.back();
-        servedSum += static_cast<double>(usage.servedTokens);
+        if (usage.requestedTokens > 0)
+            requested.push_back(static_cast<double>(usage.requestedTokens));
     }
-    if (servedSum >= requestedSum * servedFractionWithoutLimit)
-        return std::nullopt;
-    // What turned out not to be served may be taken back after its acceptance has left the window.
-    return fairLevel(std::move(requested), std::max(servedSum, 0.0));
+    return fairLevel(std::move(requested), capacity);
+}
+
+void workspace_accounts::updateFairLevel(const fleet_view &fleet, const target_pressure &pressure,
+                                         absl::Time now)
+{
+    m_fairLevel = computeFairLevel(fleet, capacityOf(fleet, pressure, now), now);
+    m_fairLevelAt = now;
 }
 
 share_state workspace_accounts::shareOf(const std::string &workspace, const fleet_view &fleet,
-                                        absl::Time now)
+                                        absl::Time now) const
 {
-    if (now - m_fairLevelAt >= fairLevelInterval) {
-        m_fairLevel = computeFairLevel(fleet, now);
-        m_fairLevelAt = now;
-    }
     const workspace_usage usage = usageOf(stableHash(workspace), fleet, now);
     return {.requestedTokens = static_cast<double>(usage.requestedTokens),
             .servedTokens = static_cast<double>(usage.servedTokens),
--- a/tests/admission/admission_test.cpp
+++ b/tests/admission/admission_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <string>
 
@@ -38,112 +39,119 @@
 TEST_CASE("a token window drops tokens that are older than its span", "[admission]")
 {
     const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+    const absl::Duration half = token_window::span / 2;
     token_window window;
     window.add(100, start);
-    window.add(50, start + absl::Seconds(2));
-    CHECK(window.sum(start + absl::Seconds(2)) == 150);
-    CHECK(window.sum(start + absl::Seconds(4)) == 50);
+    window.add(50, start + half);
+    CHECK(window.sum(start + half) == 150);
+    CHECK(window.sum(start + token_window::span) == 50);
     CHECK(window.sum(start + absl::Seconds(60)) == 0);
 }
 
-TEST_CASE("requests beyond their workspace's fair share have a lower backlog limit", "[admission]")
+TEST_CASE("of what a workspace requests, its fair share is within it", "[admission]")
 {
-    const backlog_limits limits;
-    const absl::Duration latencyObjective = absl::Milliseconds(800);
-    const share_state under {
-        .requestedTokens = 20.0, .servedTokens = 20.0, .fairShareTokens = 20.0};
-    const share_state farUnder {
-        .requestedTokens = 16.0, .servedTokens = 16.0, .fairShareTokens = 20.0};
-    const share_state little {.requestedTokens = 1.0, .servedTokens = 1.0, .fairShareTokens = 20.0};
-    const share_state over {.requestedTokens = 25.0, .servedTokens = 20.0, .fairShareTokens = 20.0};
-    const share_state enough {
-        .requestedTokens = 20.0, .servedTokens = 20.0, .fairShareTokens = std::nullopt};
-    const double within = 0.1;
-    const double beyond = 0.9;
-
-    for (const double draw : {within, beyond}) {
-        CHECK(backlogLimit(under, draw, latencyObjective, limits) == latencyObjective);
-        CHECK(backlogLimit(enough, draw, latencyObjective, limits) == latencyObjective);
-        CHECK(backlogLimit(farUnder, draw, latencyObjective, limits) == latencyObjective * 1.25);
-        CHECK(backlogLimit(little, draw, latencyObjective, limits) == latencyObjective * 2);
-    }
-    CHECK(backlogLimit(over, within, latencyObjective, limits) < latencyObjective);
-    CHECK(backlogLimit(over, beyond, latencyObjective, limits)
-          < backlogLimit(over, within, latencyObjective, limits) / 2);
-    CHECK(backlogLimit(over, beyond, latencyObjective, limits) > absl::ZeroDuration());
+    const auto countWithin = [](const share_state &share) {
+        constexpr int requests = 3000;
+        int within = 0;
+        for (int number = 0; number < requests; ++number)
+            within += isWithinShare(share, shareDraw("request-" + std::to_string(number))) ? 1 : 0;
+        return within;
+    };
 
-    SECTION("a workspace far beyond its share leaves room at a busy target to those within theirs")
+    SECTION("all of it up to the share, or while the capacity covers all demand")
     {
-        const share_state farOver {
-            .requestedTokens = 200.0, .servedTokens = 20.0, .fairShareTokens = 20.0};
-        CHECK(backlogLimit(farOver, 0.05, latencyObjective, limits) < latencyObjective / 2);
-        CHECK(backlogLimit(farOver, 0.05, latencyObjective, limits)
-              > backlogLimit(farOver, beyond, latencyObjective, limits));
+        CHECK(countWithin({.requestedTokens = 20.0, .fairShareTokens = 20.0}) == 3000);
+        CHECK(countWithin({.requestedTokens = 2000.0}) == 3000);
+        CHECK(countWithin({.fairShareTokens = 20.0}) == 3000);
+        CHECK(countWithin({}) == 3000);
     }
 
-    SECTION("which holds for fewer requests the closer the workspace is to its share")
+    SECTION("a third of three times the share")
     {
-        const share_state farOver {
-            .requestedTokens = 60.0, .servedTokens = 20.0, .fairShareTokens = 20.0};
-        const double between = 0.5;
-        CHECK(backlogLimit(farOver, between, latencyObjective, limits)
-              < backlogLimit(over, between, latencyObjective, limits) / 2);
-        CHECK(backlogLimit(farOver, between, latencyObjective, limits) > absl::ZeroDuration());
+        const int within = countWithin({.requestedTokens = 60.0, .fairShareTokens = 20.0});
+        CHECK(within > 900);
+        CHECK(within < 1100);
     }
 
-    SECTION("of a workspace that requests three times its share, a third is within it")
+    SECTION("whatever was served before, while there was room or while there was none")
     {
-        const share_state threeTimes {
-            .requestedTokens = 60.0, .servedTokens = 20.0, .fairShareTokens = 20.0};
-        constexpr int requests = 3000;
-        int withinShare = 0;
-        for (int number = 0; number < requests; ++number) {
-            const double draw = shareDraw("request-" + std::to_string(number));
-            withinShare += draw < fractionWithinShare(threeTimes) ? 1 : 0;
-        }
-        CHECK(withinShare > 900);
-        CHECK(withinShare < 1100);
+        for (const double served : {0.0, 20.0, 2000.0})
+            CHECK(countWithin(
+                      {.requestedTokens = 60.0, .servedTokens = served, .fairShareTokens = 20.0})
+                  == countWithin({.requestedTokens = 60.0, .fairShareTokens = 20.0}));
     }
 
-    SECTION("what was served beyond a share lowers no limit")
+    SECTION("so that repeats of what is rejected change nothing in the sum")
     {
-        const share_state before {
-            .requestedTokens = 30.0, .servedTokens = 20.0, .fairShareTokens = 20.0};
-        const share_state after {
-            .requestedTokens = 30.0, .servedTokens = 2000.0, .fairShareTokens = 20.0};
-        CHECK(shareRatio(after) == shareRatio(before));
+        const double once = 60.0;
+        const double repeated = 100.0;
+        const double share = 20.0;
+        CHECK(once * countWithin({.requestedTokens = once, .fairShareTokens = share})
+              == Approx(repeated
+                        * countWithin({.requestedTokens = repeated, .fairShareTokens = share}))
+                     .epsilon(0.1));
     }
 
-    SECTION("of two workspaces that request the same, the one that was served less waits longer")
+    SECTION("and the rest may come back the later, the more it is")
     {
-        const share_state served {
-            .requestedTokens = 30.0, .servedTokens = 20.0, .fairShareTokens = 20.0};
-        const share_state starved {
-            .requestedTokens = 30.0, .servedTokens = 10.0, .fairShareTokens = 20.0};
-        for (const double draw : {within, beyond})
-            CHECK(backlogLimit(served, draw, latencyObjective, limits)
-                  < backlogLimit(starved, draw, latencyObjective, limits) / 2);
-        CHECK(backlogLimit(starved, beyond, latencyObjective, limits) >= latencyObjective);
-
-        AND_THEN("also if it requests less than its share")
-        {
-            const share_state starvedWithin {
-                .requestedTokens = 15.0, .servedTokens = 5.0, .fairShareTokens = 20.0};
-            CHECK(backlogLimit(starvedWithin, beyond, latencyObjective, limits)
-                  == latencyObjective * 2);
-        }
-        AND_THEN("also while nearly all demand is served")
-        {
-            const share_state starvedAlone {.requestedTokens = 15.0, .servedTokens = 5.0};
-            CHECK(backlogLimit(starvedAlone, beyond, latencyObjective, limits)
-                  == latencyObjective * 2);
-        }
+        const auto retryAfter = [](double requested) {
+            return retryAfterBeyondShare({.requestedTokens = requested, .fairShareTokens = 20.0});
+        };
+        CHECK(retryAfter(21.0) == absl::Milliseconds(200));
+        CHECK(retryAfter(60.0) == absl::Milliseconds(500));
+        CHECK(retryAfter(2000.0) == absl::Seconds(1));
+        CHECK(retryAfterBeyondShare({.requestedTokens = 1.0, .fairShareTokens = 0.0})
+              == absl::Seconds(1));
     }
+}
 
-    SECTION("and without any tokens a share is neither exceeded nor missed")
+TEST_CASE("a workspace that leaves some of its share may wait longer at a target", "[admission]")
+{
+    const backlog_limits limits;
+    const absl::Duration latencyObjective = absl::Milliseconds(800);
+    const auto limitOf = [&](const share_state &share) {
+        return backlogLimit(share, latencyObjective, limits);
+    };
+    CHECK(limitOf({.requestedTokens = 20.0}) == latencyObjective);
+    CHECK(limitOf({.requestedTokens = 25.0, .fairShareTokens = 20.0}) == latencyObjective);
+    CHECK(limitOf({.requestedTokens = 20.0, .fairShareTokens = 20.0}) == latencyObjective);
+    CHECK(limitOf({.requestedTokens = 16.0, .fairShareTokens = 20.0}) == latencyObjective * 1.25);
+    CHECK(limitOf({.requestedTokens = 1.0, .fairShareTokens = 20.0}) == latencyObjective * 2);
+}
+
+TEST_CASE("the capacity follows from work, targets and backlog", "[admission]")
+{
+    const capacity_limits limits {.utilization = 0.8};
+    const placed_work placed {.tokens = 30000.0, .work = absl::Milliseconds(500)};
+    const target_pressure intended {.targets = 10, .meanBacklog = limits.intendedBacklog};
+    const absl::Duration second = absl::Seconds(1);
+    const double capacity = capacityTokens(placed, intended, second, limits);
+    CHECK(capacity == Approx(60000.0 * 10 * 0.8));
+
+    SECTION("not from how much was accepted")
+    {
+        const placed_work little {.tokens = placed.tokens / 100, .work = placed.work / 100};
+        CHECK(capacityTokens(little, intended, second, limits) == Approx(capacity));
+    }
+    SECTION("it falls and rises with the targets, at once")
+    {
+        target_pressure half = intended;
+        half.targets = 5;
+        CHECK(capacityTokens(placed, half, second, limits) == Approx(capacity / 2));
+    }
+    SECTION("it is raised while targets have little to do, and lowered while they have too much")
+    {
+        const auto at = [&](absl::Duration backlog) {
+            return capacityTokens(placed, {.targets = 10, .meanBacklog = backlog}, second, limits);
+        };
+        CHECK(at(absl::ZeroDuration()) == Approx(capacity * limits.maxFactor));
+        CHECK(at(limits.intendedBacklog / 4) == Approx(capacity * 2));
+        CHECK(at(limits.intendedBacklog * 4) == Approx(capacity / 2));
+        CHECK(at(absl::Minutes(1)) == Approx(capacity * limits.minFactor));
+    }
+    SECTION("without anything placed there is no limit")
     {
-        CHECK(shareRatio({}) == 1.0);
-        CHECK(shareRatio({.fairShareTokens = 20.0}) == 1.0);
+        CHECK_FALSE(std::isfinite(capacityTokens({}, intended, second, limits)));
     }
 }
 
--- a/tests/division/division_test.cpp
+++ b/tests/division/division_test.cpp
@@ -3,6 +3,8 @@
 #include <catch2/catch.hpp>
 
 #include <cstdint>
+#include <numeric>
+#include <vector>
 
 using namespace quetzal;
 using namespace quetzal::bench;
@@ -15,6 +17,8 @@
 constexpr double minMargin = 1.5;
 /** While work is refused at least this part of the targets' time must go into work. */
 constexpr double minBusyFraction = 0.75;
+/** The load of the fleet's usual size is for 20 targets. */
+constexpr double usualFactor = 2.4;
 constexpr double manyRefused = 0.1;
 
 /** Three groups of workspaces ask for many times their usual, and a quarter of the targets fails.
@@ -24,20 +28,26 @@
     random_source random(seed);
     mixed_fleet_options options {
         .seed = seed,
+        .targets = 60,
         .loadDuration = loadDuration,
         .outage = {.targets = 5, .from = absl::Seconds(10.5), .until = absl::Seconds(15)}};
+    options.changes.push_back({.duration = loadDuration, .factor = usualFactor});
+    std::vector<int> order(mixed_fleet::workspaces);
+    std::iota(order.begin(), order.end(), 0);
     const auto overload = [&](int count, double factor, double from, double until) {
-        for (int number = 0; number < count; ++number)
-            options.changes.push_back(
-                {.at = absl::Seconds(from),
-                 .duration = absl::Seconds(until - from),
-                 .factor = factor,
-                 .workspace = static_cast<int>(random.below(mixed_fleet::workspaces))});
+        for (int number = 0; number < count; ++number) {
+            const std::size_t picked = random.below(order.size());
+            options.changes.push_back({.at = absl::Seconds(from),
+                                       .duration = absl::Seconds(until - from),
+                                       .factor = factor,
+                                       .workspace = order[picked]});
+            order.erase(order.begin() + static_cast<std::ptrdiff_t>(picked));
+        }
     };
     overload(4, 10.1, 3.5, 11.7);
     overload(3, 4.0, 9.5, 16.1);
     overload(5, 12.7, 13.5, 22.0);
-    options.singleVmWorkspaces = {static_cast<std::size_t>(options.changes.front().workspace),
+    options.singleVmWorkspaces = {static_cast<std::size_t>(options.changes[1].workspace),
                                   static_cast<std::size_t>(options.changes.back().workspace)};
     return options;
 }
--- a/tests/emulator/lab_test.cpp
+++ b/tests/emulator/lab_test.cpp
@@ -42,11 +42,12 @@
 {
     const policy_variant regular {.name = "usual"};
 
-    SECTION("a lower limit for requests beyond their workspace's share serves more")
+    SECTION("rejecting what is beyond a workspace's share serves more")
     {
         const lab_experiment experiment = loadHeavyDay("luzalerta");
         policy_variant noShares {.name = "no shares"};
-        noShares.backlog.overShare = noShares.backlog.underShare;
+        constexpr double unlimited = 1e9;
+        noShares.capacity.utilization = unlimited;
         const lab_result with = meanOf(experiment, regular);
         const lab_result without = meanOf(experiment, noShares);
         CHECK(with.worth > without.worth);
--- a/tests/mixed_fleet/mixed_fleet.cpp
+++ b/tests/mixed_fleet/mixed_fleet.cpp
@@ -58,6 +58,7 @@
     , m_fleet(m_events, m_invariants, planOf(options, m_load))
     , m_callers(m_events, m_fleet, m_invariants, m_load)
     , m_busyTimes(m_fleet.targetCount())
+    , m_wasUp(m_fleet.targetCount(), true)
 {
     m_events.runUntil(m_events.now() + warmUp);
     m_callers.start(options.loadDuration);
@@ -116,7 +117,10 @@
     for (std::size_t index = 0; index < m_fleet.targetCount(); ++index) {
         const absl::Duration before
             = std::exchange(m_busyTimes[index], m_fleet.target(index).busyTime());
-        if (!m_fleet.target(index).isUp())
+        const emulated_target &target = m_fleet.target(index);
+        const bool wasUp = m_wasUp[index];
+        m_wasUp[index] = target.isUp();
+        if (!wasUp || !target.isUp() || target.isCold(m_events.now()))
             continue;
         busy += m_busyTimes[index] - before;
         up += 1.0;
--- a/tests/mixed_fleet/mixed_fleet.h
+++ b/tests/mixed_fleet/mixed_fleet.h
@@ -47,7 +47,10 @@
     std::vector<share_margin> margins(absl::Duration from, absl::Duration until);
     /** True if the workspace asks for many times its usual at some time. */
     bool isGreedy(std::size_t workspace) const;
-    /** Returns for each second of the load which part of it the targets that were up were busy. */
+    /**
+     * Returns for each second of the load which part of it the targets were busy, without those
+     * that were down in it or are cold at its end.
+     */
     const std::vector<double> &busyFractions() const { return m_busyFractions; }
     /** Returns which part of the requests that callers sent first in a second was refused. */
     double refusedFraction(int second) const;
@@ -66,6 +69,7 @@
     emulated_fleet m_fleet;
     caller_population m_callers;
     std::vector<absl::Duration> m_busyTimes;
+    std::vector<bool> m_wasUp;
     std::vector<double> m_busyFractions;
 };
 
--- a/tests/small_share/full_target_test.cpp
+++ b/tests/small_share/full_target_test.cpp
@@ -17,6 +17,7 @@
 constexpr absl::Duration beyondLimit = absl::Milliseconds(1200);
 constexpr std::int64_t sharedTokens = 16000;
 constexpr std::int64_t greedyTokens = 2000000;
+constexpr std::int64_t placedWorkMs = 3000;
 
 std::shared_ptr<const route_table> table()
 {
@@ -84,7 +85,8 @@
                                    .incarnation = 1,
                                    .workspaces = {{.workspace = stableHash(workspace),
                                                    .requestedTokens = requested,
-                                                   .servedTokens = served}}},
+                                                   .servedTokens = served}},
+                                   .placed = {.tokens = served, .workMs = placedWorkMs}},
                       now);
     }
 
@@ -138,8 +140,8 @@
 {
     router router;
     router.hearOfUsage("greedy", greedyTokens, greedyTokens / 10, start);
-    router.hearOfUsage("modest", greedyTokens, greedyTokens, start);
     const auto first = std::get<placement>(router.place(dossier("first", 101), start));
+    router.hearOfUsage("modest", greedyTokens, 0, start);
     router.hearOfBacklog(first.target, beyondLimit, start);
     CHECK(std::holds_alternative<rejection>(router.place(dossier("second", 102), start)));
 }
