Without a sound target no share is limited: the missing targets decide

Found while reading: with no usable target, or with failures at all of them, the capacity was 0, so that each model request was rejected as beyond its share (2002) in place of being tried or told when a target will be available. Test: admission.

--- a/modules/admission/capacity/capacity_estimate.cpp
+++ b/modules/admission/capacity/capacity_estimate.cpp
@@ -9,7 +9,7 @@
 double capacityTokens(const placed_work &placed, const target_pressure &pressure,
                       absl::Duration time, const capacity_limits &limits)
 {
-    if (placed.work <= absl::ZeroDuration())
+    if (placed.work <= absl::ZeroDuration() || pressure.targets == 0)
         return std::numeric_limits<double>::infinity();
     const double tokensPerSecond = placed.tokens / absl::ToDoubleSeconds(placed.work);
     const double nominal = tokensPerSecond * absl::ToDoubleSeconds(time)
--- a/modules/admission/capacity/capacity_estimate.h
+++ b/modules/admission/capacity/capacity_estimate.h
@@ -45,7 +45,9 @@
 };
 
 /**
- * Returns the tokens that targets can serve within a time; infinity if nothing was placed.
+ * Returns the tokens that targets can serve within a time; infinity if nothing was placed, or if no
+ * target is known to be sound, since it is not for want of capacity then that requests are
+ * rejected.
  *
  * It follows from the tokens that a unit of work brings and the number of targets, not from how
  * much was accepted, so that rejections don't lower it. Errors of the estimated work show in the
--- a/tests/admission/admission_test.cpp
+++ b/tests/admission/admission_test.cpp
@@ -149,9 +149,10 @@
         CHECK(at(limits.intendedBacklog * 4) == Approx(capacity / 2));
         CHECK(at(absl::Minutes(1)) == Approx(capacity * limits.minFactor));
     }
-    SECTION("without anything placed there is no limit")
+    SECTION("without anything placed, or without a target, there is no limit")
     {
         CHECK_FALSE(std::isfinite(capacityTokens({}, intended, second, limits)));
+        CHECK_FALSE(std::isfinite(capacityTokens(placed, {}, second, limits)));
     }
 }
 
