--- a/modules/admission/capacity/capacity_estimate.h
+++ b/modules/admission/capacity/capacity_estimate.h
@@ -35,9 +35,9 @@
     absl::Duration intendedBacklog = absl::Milliseconds(150);
     /** More backlog of one target counts as this much: full targets take no load off others. */
     absl::Duration maxCountedBacklog = absl::Milliseconds(300);
-    /** How much the capacity changes with the ratio of intended to measured backlog. */
+    /** The exponent of the ratio of the intended to the mean backlog, a factor of the capacity. */
     double backlogExponent = 0.5;
-    /** The bounds of this change. */
+    /** The bounds of this factor. */
     double minFactor = 0.4;
     double maxFactor = 4.0;
 
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -49,7 +49,7 @@
 /** The values that led to a rejection for overload. */
 struct overload_cause
 {
-    /** True if the request was beyond its workspace's share; then no target was chosen. */
+    /** True for a request beyond its workspace's share, for which no target is chosen. */
     bool isBeyondShare = false;
     /** The target that would have been chosen. */
     std::string target;
--- a/modules/forwarding/node/workspace_accounts.h
+++ b/modules/forwarding/node/workspace_accounts.h
@@ -15,8 +15,8 @@
 namespace quetzal {
 
 /**
- * Accounts of the tokens that each workspace requested and received within the last seconds, and of
- * its fair share.
+ * Accounts of the tokens that each workspace requested and received within the window, and of its
+ * fair share.
  */
 class workspace_accounts
 {
