--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -109,7 +109,10 @@
     , m_peers(m_loop, m_node,
               {.host = m_settings.callers.host, .port = m_settings.firstInternalPort})
     , m_feed(m_context, m_peers,
-             {.store = m_settings.store, .vm = m_settings.vm, .host = m_settings.callers.host})
+             {.store = m_settings.store,
+              .vm = m_settings.vm,
+              .host = m_settings.callers.host,
+              .targetHeartbeat = m_settings.targetHeartbeat})
     , m_loopMonitor(m_loop,
                     [this](absl::Duration delay, absl::Time now) { onLoopDelay(delay, now); })
     , m_callerListener(
@@ -204,6 +207,11 @@
     const absl::Duration covered = now - std::exchange(m_activityLoggedAt, now);
     const std::int64_t datagrams = m_peers.receivedCount();
     const std::int64_t heard = datagrams - std::exchange(m_datagramsLogged, datagrams);
+    const std::int64_t unreadable = m_peers.unreadableCount();
+    const std::int64_t newUnreadable
+        = unreadable - std::exchange(m_unreadableDatagramsLogged, unreadable);
+    if (newUnreadable > 0)
+        m_log.line("datagrams_unreadable").number("count", newUnreadable);
     if (done.requests + done.callersGone + done.rejectedConnections == 0)
         return;
     m_log.line("activity")
@@ -377,6 +385,8 @@
                   m_peers.sentCount());
     m_metrics.set("digests_received", "Datagrams from other routers since the start.",
                   m_peers.receivedCount());
+    m_metrics.set("datagrams_unreadable", "Datagrams that could not be read since the start.",
+                  m_peers.unreadableCount());
     m_metrics.set("routers", "Routers that share the fleet's limits.",
                   static_cast<std::int64_t>(m_node.routers().members.size()));
     m_metrics.set("configuration_version", "The version of the configuration in force.",
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -83,8 +83,9 @@
     store_feed m_feed;
     loop_monitor m_loopMonitor;
     absl::Time m_loopDelayLoggedAt = absl::InfinitePast();
-    absl::Time m_activityLoggedAt = absl::InfinitePast();
+    absl::Time m_activityLoggedAt;
     std::int64_t m_datagramsLogged = 0;
+    std::int64_t m_unreadableDatagramsLogged = 0;
     listener m_callerListener;
     connection_rejecter m_rejecter;
     listener m_readinessListener;
--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -4,8 +4,6 @@
 #include "directory/mirror/mirror_codec.h"
 #include "platform/store_dialect.h"
 
-#include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace quetzal {
@@ -15,25 +13,21 @@
 /** Time for the store to answer after the wait of a watch has elapsed. */
 constexpr absl::Duration callTimeout = absl::Milliseconds(800);
 constexpr absl::Duration listTimeout = absl::Milliseconds(1500);
+constexpr absl::Duration peerTimeout = absl::Milliseconds(400);
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204;
-/** Delay between calls to other routers while the store is unreachable. */
-constexpr std::chrono::milliseconds peerCallDelay {400};
-constexpr absl::Duration peerTimeout = absl::Milliseconds(600);
 
 } // namespace
 
 mirror_session::mirror_session(boost::asio::io_context &loop, event_log &log,
-                               const network_address &store, std::string prefix,
+                               const network_address &store, follower_options options,
                                mirror_callbacks callbacks)
-    : m_timer(loop)
+    : m_loop(loop)
+    , m_timer(loop)
     , m_log(log)
     , m_client(std::make_shared<http_client>(loop, store))
-    , m_follower(std::move(prefix))
+    , m_follower(std::move(options))
     , m_callbacks(std::move(callbacks))
-    , m_watchTimeouts(watchTimeouts(1, 0))
-    , m_loop(loop)
-    , m_peerTimer(loop)
 {
 }
 
@@ -45,63 +39,90 @@
 void mirror_session::stop()
 {
     m_timer.cancel();
-    m_peerTimer.cancel();
     m_client->stop();
     if (m_peerClient)
         m_peerClient->stop();
     m_peerClient.reset();
 }
 
-void mirror_session::onChangeReportedByPeer(std::int64_t revision, absl::Time now)
+void mirror_session::update(absl::Time now)
 {
-    if (!m_isWatching || !m_follower.isWatchBehind(revision, now))
-        return;
-    m_log.line("watch_behind")
-        .text("prefix", m_follower.mirror().prefix())
-        .number("revision", m_follower.mirror().revision())
-        .number("elsewhere", revision);
-    m_isWatching = false;
-    m_client->stop();
+    reportCurrent(now);
+    if (m_call == call_state::Watch && m_follower.isWatchBehind(now)) {
+        m_log.line("watch_behind")
+            .text("prefix", m_follower.mirror().prefix())
+            .number("revision", m_follower.mirror().revision());
+        m_client->stop();
+        m_call = call_state::None;
+    }
+    step();
+}
+
+void mirror_session::onPeerRevision(std::int64_t revision, absl::Time now)
+{
+    m_follower.onPeerRevision(revision, now);
+}
+
+void mirror_session::onUpdate(const mirror_update &update, const std::string &host, absl::Time now)
+{
+    // Whether the replica was current decides what becomes of targets that the update removes.
+    reportCurrent(now);
+    const std::vector<key_change> changes = m_follower.onUpdate(update, host, now);
+    reportCurrent(now);
+    reportChanges(changes, false);
     step();
 }
 
 void mirror_session::step()
 {
-    const follower_step next = m_follower.next();
+    if (m_call != call_state::None)
+        return;
+    const follower_step next = m_follower.next(edgeNow(), m_callbacks.hasPeers());
     if (next.delay <= absl::ZeroDuration()) {
+        m_timer.cancel();
         run(next);
         return;
     }
     m_timer.expires_after(absl::ToChronoNanoseconds(next.delay));
     m_timer.async_wait([this](const boost::system::error_code &error) {
         if (!error)
-            run(m_follower.next());
+            step();
     });
 }
 
 void mirror_session::run(const follower_step &step)
+{
+    if (step.kind == follower_step::action::Copy)
+        callPeer(step);
+    else if (step.kind != follower_step::action::Idle)
+        callStore(step);
+}
+
+void mirror_session::callStore(const follower_step &step)
 {
     const std::string &prefix = m_follower.mirror().prefix();
     const bool isWatch = step.kind == follower_step::action::Watch;
-    m_isWatching = isWatch;
-    const absl::Duration wait = step.isFirstWatch ? m_watchTimeouts.first : m_watchTimeouts.regular;
-    const platform::store_call call = isWatch ? platform::watchCall(prefix, step.revision, wait)
-                                              : platform::listCall(prefix, step.afterKey);
+    m_call = isWatch ? call_state::Watch : call_state::List;
+    const platform::store_call call = isWatch
+        ? platform::watchCall(prefix, step.revision, step.wait)
+        : platform::listCall(prefix, step.afterKey);
     m_client->call(
         {.method = call.method,
          .target = call.target,
          .body = call.body,
-         .timeout = isWatch ? wait + callTimeout : listTimeout},
-        [this, step](const std::optional<http_result> &result) { onResult(step, result); });
+         .timeout = isWatch ? step.wait + callTimeout : listTimeout},
+        [this, step](const std::optional<http_result> &result) { onStoreResult(step, result); });
 }
 
-void mirror_session::onResult(const follower_step &step, const std::optional<http_result> &result)
+void mirror_session::onStoreResult(const follower_step &step,
+                                   const std::optional<http_result> &result)
 {
     const bool isWatch = step.kind == follower_step::action::Watch;
-    m_isWatching = false;
+    m_call = call_state::None;
+    reportCurrent(edgeNow());
     if (result && isWatch && result->status == platform::historyLostStatus) {
         m_log.line("history_lost").text("prefix", m_follower.mirror().prefix());
-        m_follower.onHistoryLost();
+        m_follower.onHistoryLost(edgeNow());
     } else if (!result || result->status != statusOk || !apply(step, *result)) {
         m_log.line("store_call_failed")
             .text("prefix", m_follower.mirror().prefix())
@@ -109,9 +130,7 @@
             .number("status", result ? result->status : 0)
             .number("bytes", result ? static_cast<std::int64_t>(result->body.size()) : 0);
         m_follower.onFailure(edgeNow());
-        schedulePeerCall();
     }
-    reportReachability();
     this->step();
 }
 
@@ -119,84 +138,84 @@
 {
     const absl::Time now = edgeNow();
     const bool first = !m_follower.mirror().isComplete();
+    std::vector<key_change> changes;
     if (step.kind == follower_step::action::Watch) {
         const auto page = platform::readChanges(result.body);
         if (!page)
             return false;
         reportUnreadable(page->unreadableCount);
-        const auto changes = m_follower.onChanges(*page, now);
-        reportReachability();
-        reportChanges(changes, false);
-        return true;
+        changes = m_follower.onChanges(*page, step.revision, now);
+    } else {
+        const auto page = platform::readListing(result.body);
+        if (!page)
+            return false;
+        reportUnreadable(page->unreadableCount);
+        changes = m_follower.onListing(*page, now);
     }
-    const auto page = platform::readListing(result.body);
-    if (!page)
-        return false;
-    reportUnreadable(page->unreadableCount);
-    const auto changes = m_follower.onListing(*page, now);
-    reportReachability();
+    sendUpdate();
+    reportCurrent(now);
     reportChanges(changes, first);
     return true;
 }
 
-std::string mirror_session::encodedCopyAfter(std::int64_t revision) const
+void mirror_session::sendUpdate()
 {
-    const prefix_mirror &mirror = m_follower.mirror();
-    if (!mirror.isComplete() || mirror.revision() <= revision)
-        return {};
-    return encodeMirror({.items = mirror.items(), .revision = mirror.revision()});
+    if (const auto update = m_follower.takeUpdate())
+        m_callbacks.sendUpdate(*update);
 }
 
-void mirror_session::schedulePeerCall()
+std::string mirror_session::encodedCopyAfter(std::int64_t revision) const
 {
-    if (m_isPeerCallPending || !m_callbacks.nextPeer)
-        return;
-    m_isPeerCallPending = true;
-    m_peerTimer.expires_after(peerCallDelay);
-    m_peerTimer.async_wait([this](const boost::system::error_code &error) {
-        if (!error)
-            callPeer();
-    });
+    const auto copy = m_follower.copyAfter(revision, edgeNow());
+    return copy ? encodeMirror(*copy) : std::string();
 }
 
-void mirror_session::callPeer()
+void mirror_session::callPeer(const follower_step &step)
 {
-    m_isPeerCallPending = false;
-    if (m_follower.isReachable())
-        return;
-    const auto peer = m_callbacks.nextPeer();
+    const auto peer = m_callbacks.peerAt(step.host);
     if (!peer) {
-        schedulePeerCall();
+        m_follower.onCopyFailed(edgeNow());
+        this->step();
         return;
     }
-    m_isPeerCallPending = true;
+    m_call = call_state::Copy;
+    if (m_peerClient)
+        m_peerClient->stop();
     m_peerClient = std::make_shared<http_client>(m_loop, *peer);
     const prefix_mirror &mirror = m_follower.mirror();
     const std::int64_t known = mirror.isComplete() ? mirror.revision() : 0;
     m_peerClient->call(
         {.target = mirrorPath + mirror.prefix() + "?after=" + std::to_string(known),
          .timeout = peerTimeout},
-        [this, peer](const std::optional<http_result> &result) { onPeerCopy(*peer, result); });
+        [this, peer](const std::optional<http_result> &result) { onPeerResult(*peer, result); });
 }
 
-void mirror_session::onPeerCopy(const network_address &peer,
-                                const std::optional<http_result> &result)
+void mirror_session::onPeerResult(const network_address &peer,
+                                  const std::optional<http_result> &result)
 {
-    m_isPeerCallPending = false;
-    const auto page
+    m_call = call_state::None;
+    const absl::Time now = edgeNow();
+    const bool first = !m_follower.mirror().isComplete();
+    const auto copy
         = result && result->status == statusOk ? decodeMirror(result->body) : std::nullopt;
+    reportCurrent(now);
+    std::vector<key_change> changes;
+    if (copy)
+        changes = m_follower.onCopy(*copy, now);
+    else
+        m_follower.onCopyFailed(now);
+    const bool isTaken = copy && m_follower.mirror().revision() == copy->revision;
     const bool isUpToDate = result && result->status == statusNoContent;
     if (!isUpToDate)
-        m_log.line(page ? "copy_taken" : "copy_not_taken")
+        m_log.line(isTaken ? "copy_taken" : "copy_not_taken")
             .text("prefix", m_follower.mirror().prefix())
             .text("from", peer.host)
             .number("status", result ? result->status : 0)
-            .number("revision", page ? page->revision : m_follower.mirror().revision());
-    if (page) {
-        const bool first = !m_follower.mirror().isComplete();
-        reportChanges(m_follower.onPeerListing(page->items, page->revision), first);
-    }
-    schedulePeerCall();
+            .number("revision", copy ? copy->revision : m_follower.mirror().revision())
+            .number("ageMs", copy ? absl::ToInt64Milliseconds(copy->age) : 0);
+    reportCurrent(now);
+    reportChanges(changes, first);
+    step();
 }
 
 void mirror_session::reportChanges(const std::vector<key_change> &changes, bool first)
@@ -213,16 +232,16 @@
             .number("count", static_cast<std::int64_t>(rows));
 }
 
-void mirror_session::reportReachability()
+void mirror_session::reportCurrent(absl::Time now)
 {
-    const bool isReachable = m_follower.isReachable();
-    if (isReachable == std::exchange(m_wasReachable, isReachable))
+    const bool isCurrent = m_follower.isCurrent(now);
+    if (isCurrent == std::exchange(m_wasCurrent, isCurrent))
         return;
-    m_log.line(isReachable ? "store_reached" : "store_lost")
+    m_log.line(isCurrent ? "store_reached" : "store_lost")
         .text("prefix", m_follower.mirror().prefix())
         .number("revision", m_follower.mirror().revision());
-    if (m_callbacks.onReachabilityChanged)
-        m_callbacks.onReachabilityChanged(isReachable);
+    if (m_callbacks.onCurrentChanged)
+        m_callbacks.onCurrentChanged(isCurrent);
 }
 
 } // namespace quetzal
--- a/apps/edge/peer_exchange.cpp
+++ b/apps/edge/peer_exchange.cpp
@@ -2,8 +2,10 @@
 
 #include "apps/edge/edge_clock.h"
 #include "exchange/digest/digest_codec.h"
+#include "replication/update/update_codec.h"
 
-#include <algorithm>
+#include <string_view>
+#include <utility>
 
 namespace quetzal {
 
@@ -12,8 +14,8 @@
 
 namespace {
 
-/** Bound of the set of discovered peers. */
-constexpr std::size_t maxDiscoveredPeers = 64;
+/** Longer datagrams are divided, or their content is left out. */
+constexpr std::size_t maxUpdateBytes = 8192;
 /** Datagrams must not wait for the other events of a busy router, or what they tell is stale. */
 constexpr int maxDatagramsPerTurn = 256;
 
@@ -65,30 +67,67 @@
 
 void peer_exchange::onDatagram(std::size_t bytes)
 {
-    const auto digest = decodeDigest({m_buffer.data(), bytes});
-    if (!digest)
+    const absl::Time now = edgeNow();
+    const std::string_view datagram {m_buffer.data(), bytes};
+    const std::string host = m_sender.address().to_string();
+    if (const auto digest = decodeDigest(datagram)) {
+        ++m_receivedCount;
+        m_peers.onHeard(host, now);
+        m_node.onDigest(*digest, now);
         return;
+    }
+    const auto update = decodeUpdate(datagram);
+    if (!update) {
+        ++m_unreadableCount;
+        return;
+    }
     ++m_receivedCount;
-    if (m_discoveredPeers.size() < maxDiscoveredPeers)
-        m_discoveredPeers.insert(m_sender.address().to_string());
-    m_node.onDigest(*digest, edgeNow());
+    m_peers.onHeard(host, now);
+    if (m_onUpdate)
+        m_onUpdate(*update, host);
 }
 
-std::optional<network_address> peer_exchange::nextPeer()
+void peer_exchange::setPeers(std::vector<std::string> hosts)
 {
-    std::vector<std::string> hosts = m_peers;
-    for (const std::string &host : m_discoveredPeers) {
-        if (std::find(hosts.begin(), hosts.end(), host) == hosts.end())
-            hosts.push_back(host);
-    }
-    if (hosts.empty())
+    const bool isFirst = m_endpoints.empty();
+    m_endpoints.clear();
+    for (const std::string &host : hosts)
+        m_endpoints.push_back(endpointAt(host, m_port));
+    m_peers.setMembers(std::move(hosts));
+    // Routers that start at the same time know no others until they hear one.
+    if (isFirst)
+        sendDigest();
+}
+
+std::optional<network_address> peer_exchange::peerAt(const std::string &host, absl::Time now)
+{
+    const auto chosen = host.empty() ? m_peers.next(now) : std::optional(host);
+    if (!chosen)
         return std::nullopt;
-    return network_address {.host = hosts[m_nextPeerIndex++ % hosts.size()], .port = m_port};
+    return network_address {.host = *chosen, .port = m_port};
+}
+
+void peer_exchange::sendUpdate(const mirror_update &update)
+{
+    if (m_endpoints.empty())
+        return;
+    for (const std::string &bytes : encodeUpdate(update, maxUpdateBytes))
+        sendToAll(bytes);
+}
+
+void peer_exchange::sendToAll(const std::string &bytes)
+{
+    for (const udp::endpoint &endpoint : m_endpoints) {
+        error_code sendError;
+        m_socket.send_to(boost::asio::buffer(bytes), endpoint, 0, sendError);
+        if (!sendError)
+            ++m_sentCount;
+    }
 }
 
 void peer_exchange::scheduleSend()
 {
-    m_timer.expires_after(absl::ToChronoNanoseconds(backlogInterval(m_peers.size())));
+    m_timer.expires_after(absl::ToChronoNanoseconds(backlogInterval(m_endpoints.size())));
     m_timer.async_wait([this](const error_code &error) {
         if (error)
             return;
@@ -99,7 +138,7 @@
 
 peer_digest peer_exchange::nextDigest(absl::Time now)
 {
-    if (m_schedule.next(m_peers.size(), now) == digest_kind::Backlog)
+    if (m_schedule.next(m_endpoints.size(), now) == digest_kind::Backlog)
         return m_node.makeBacklogDigest(now);
     std::vector<std::int64_t> lastChangeRevisions;
     if (m_lastChanges)
@@ -109,15 +148,8 @@
 
 void peer_exchange::sendDigest()
 {
-    if (m_peers.empty())
-        return;
-    const std::string bytes = encodeDigest(nextDigest(edgeNow()));
-    for (const std::string &host : m_peers) {
-        error_code sendError;
-        m_socket.send_to(boost::asio::buffer(bytes), endpointAt(host, m_port), 0, sendError);
-        if (!sendError)
-            ++m_sentCount;
-    }
+    if (!m_endpoints.empty())
+        sendToAll(encodeDigest(nextDigest(edgeNow())));
 }
 
 } // namespace quetzal
--- a/apps/edge/peer_exchange.h
+++ b/apps/edge/peer_exchange.h
@@ -2,9 +2,10 @@
 
 #include "directory/target/target_record.h"
 #include "exchange/interval/digest_interval.h"
+#include "exchange/peers/peer_list.h"
 #include "forwarding/node/forwarding_node.h"
+#include "replication/update/mirror_update.h"
 
-#include <absl/container/flat_hash_set.h>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -18,7 +19,7 @@
 
 namespace quetzal {
 
-/** Exchanges load digests with the other routers as UDP datagrams. */
+/** Exchanges load digests and updates of replicas with the other routers as UDP datagrams. */
 class peer_exchange
 {
 public:
@@ -32,14 +33,25 @@
     {
         m_lastChanges = std::move(lastChangeRevisions);
     }
-    /** Sets the hosts of the other routers, to which digests are sent. */
-    void setPeers(std::vector<std::string> hosts) { m_peers = std::move(hosts); }
-    /** Returns configured and discovered routers in turn; nullopt if there is none. */
-    std::optional<network_address> nextPeer();
+    /** Sets the function that receives the updates of other routers and their hosts. */
+    void setUpdateCallback(std::function<void(const mirror_update &, const std::string &)> callback)
+    {
+        m_onUpdate = std::move(callback);
+    }
+    /** Sets the hosts of the other routers, to which digests and updates are sent. */
+    void setPeers(std::vector<std::string> hosts);
+    /** True if another router is known. */
+    bool hasPeers() const { return m_peers.hasPeers(); }
+    /** Returns the router at a host, or the next one if the host is empty; nullopt for none. */
+    std::optional<network_address> peerAt(const std::string &host, absl::Time now);
+    /** Sends an update to all other routers. */
+    void sendUpdate(const mirror_update &update);
     /** Returns the number of datagrams sent. */
     std::int64_t sentCount() const { return m_sentCount; }
     /** Returns the number of valid digests received. */
     std::int64_t receivedCount() const { return m_receivedCount; }
+    /** Returns the number of datagrams that were neither a digest nor an update. */
+    std::int64_t unreadableCount() const { return m_unreadableCount; }
 
 private:
     /** Waits for the next datagrams. */
@@ -49,6 +61,7 @@
     void onDatagram(std::size_t bytes);
     void scheduleSend();
     void sendDigest();
+    void sendToAll(const std::string &bytes);
     peer_digest nextDigest(absl::Time now);
 
     boost::asio::ip::udp::socket m_socket;
@@ -57,14 +70,15 @@
     digest_schedule m_schedule;
     std::uint16_t m_port;
     std::function<std::vector<std::int64_t>()> m_lastChanges;
-    std::vector<std::string> m_peers;
-    /** Hosts from which a digest was received; nextPeer() uses them even if not configured. */
-    absl::flat_hash_set<std::string> m_discoveredPeers;
-    std::size_t m_nextPeerIndex = 0;
+    std::function<void(const mirror_update &, const std::string &)> m_onUpdate;
+    peer_list m_peers;
+    /** The addresses of the members in m_peers. */
+    std::vector<boost::asio::ip::udp::endpoint> m_endpoints;
     boost::asio::ip::udp::endpoint m_sender;
     std::array<char, 16384> m_buffer {};
     std::int64_t m_sentCount = 0;
     std::int64_t m_receivedCount = 0;
+    std::int64_t m_unreadableCount = 0;
 };
 
 } // namespace quetzal
--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -15,10 +16,18 @@
 
 /** Prefix of the records of the routers. */
 constexpr char memberPrefix[] = "quetzalreach/members/";
+/** The positions of the prefixes in digests and updates. */
+constexpr std::size_t configurationPosition = 0;
+constexpr std::size_t targetPosition = 1;
+constexpr std::size_t memberPosition = 2;
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotFound = 404;
+constexpr int statusUnavailable = 503;
 constexpr absl::Duration writeTimeout = absl::Seconds(1);
+constexpr absl::Duration writeRetryDelay = absl::Seconds(1);
+/** Records of targets expire only in an outage that is longer than two of their heartbeats. */
+constexpr double maxAgeInHeartbeats = 1.75;
 
 } // namespace
 
@@ -26,34 +35,72 @@
     : m_context(context)
     , m_peers(peers)
     , m_options(std::move(options))
-    , m_configuration(context.loop, context.log, m_options.store, platform::operatorPrefix,
-                      {.onChanges = [this](const auto &changes, bool) { onConfiguration(changes); },
-                       .onReachabilityChanged = {},
-                       .nextPeer =
-                           [this] {
-                               return m_peers.nextPeer();
-                           }})
-    , m_targets(
-          context.loop, context.log, m_options.store, platform::targetPrefix,
-          {.onChanges = [this](const auto &changes, bool first) { onTargets(changes, first); },
-           .onReachabilityChanged
-           = [this](bool isReachable) { onTargetsReachabilityChanged(isReachable); },
-           .nextPeer =
-               [this] {
-                   return m_peers.nextPeer();
-               }})
-    , m_members(context.loop, context.log, m_options.store, memberPrefix,
-                {.onChanges = [this](const auto &, bool) { onMembers(); },
-                 .onReachabilityChanged
-                 = [this](bool isReachable) { onMembersReachabilityChanged(isReachable); },
-                 .nextPeer =
-                     [this] {
-                         return m_peers.nextPeer();
-                     }})
+    , m_configuration(context.loop, context.log, m_options.store,
+                      followerOptions(platform::operatorPrefix, configurationPosition),
+                      configurationCallbacks())
+    , m_targets(context.loop, context.log, m_options.store,
+                followerOptions(platform::targetPrefix, targetPosition), targetCallbacks())
+    , m_members(context.loop, context.log, m_options.store,
+                followerOptions(memberPrefix, memberPosition), memberCallbacks())
     , m_writer(std::make_shared<http_client>(context.loop, m_options.store))
 {
 }
 
+follower_options store_feed::followerOptions(std::string prefix, std::size_t position) const
+{
+    const absl::Duration maxAge
+        = std::min(follower_options {}.maxAge, m_options.targetHeartbeat * maxAgeInHeartbeats);
+    return {.prefix = std::move(prefix),
+            .position = position,
+            .self = m_options.vm,
+            .startedAt = edgeNow(),
+            .listsAtOnce = position == memberPosition,
+            .maxAge = maxAge};
+}
+
+mirror_callbacks store_feed::commonCallbacks()
+{
+    return {.hasPeers = [this] { return m_peers.hasPeers(); },
+            .peerAt = [this](const std::string &host) { return m_peers.peerAt(host, edgeNow()); },
+            .sendUpdate =
+                [this](const mirror_update &update) {
+                    m_peers.sendUpdate(update);
+                }};
+}
+
+mirror_callbacks store_feed::configurationCallbacks()
+{
+    mirror_callbacks callbacks = commonCallbacks();
+    callbacks.onChanges = [this](const auto &changes, bool) {
+        onConfiguration(changes);
+    };
+    return callbacks;
+}
+
+mirror_callbacks store_feed::targetCallbacks()
+{
+    mirror_callbacks callbacks = commonCallbacks();
+    callbacks.onChanges = [this](const auto &changes, bool first) {
+        onTargets(changes, first);
+    };
+    callbacks.onCurrentChanged = [this](bool isCurrent) {
+        onTargetsCurrentChanged(isCurrent);
+    };
+    return callbacks;
+}
+
+mirror_callbacks store_feed::memberCallbacks()
+{
+    mirror_callbacks callbacks = commonCallbacks();
+    callbacks.onChanges = [this](const auto &, bool) {
+        onMembers();
+    };
+    callbacks.onCurrentChanged = [this](bool isCurrent) {
+        onMembersCurrentChanged(isCurrent);
+    };
+    return callbacks;
+}
+
 void store_feed::start()
 {
     m_peers.setLastChanges([this] {
@@ -62,9 +109,16 @@
             lastChangeRevisions.push_back(session->follower().mirror().lastChangeRevision());
         return lastChangeRevisions;
     });
-    m_configuration.start();
-    m_targets.start();
-    m_members.start();
+    m_peers.setUpdateCallback(
+        [this](const mirror_update &update, const std::string &host) { onUpdate(update, host); });
+    for (mirror_session *session : sessions())
+        session->start();
+}
+
+void store_feed::onUpdate(const mirror_update &update, const std::string &host)
+{
+    if (update.prefix < sessions().size())
+        sessions()[update.prefix]->onUpdate(update, host, edgeNow());
 }
 
 bool store_feed::isComplete() const
@@ -109,35 +163,43 @@
 void store_feed::onTargets(const std::vector<key_change> &changes, bool first)
 {
     const absl::Time now = edgeNow();
+    if (first)
+        m_context.log.line("targets_listed").number("count", std::ssize(changes));
     for (const key_change &change : changes) {
         const std::string id = platform::targetIdOf(change.key);
         const auto record
             = change.value ? platform::readTarget(change.key, *change.value) : std::nullopt;
-        auto line = m_context.log.line(record ? "target" : "target_removed");
-        line.text("target", id).number("revision", change.revision);
-        if (!record) {
-            line.flag("unreadable", change.value.has_value());
-            if (change.value)
-                m_context.node.dropTarget(id);
-            else
-                m_context.node.removeTarget(id, now);
-            m_context.pool.closeIdle(id);
-            continue;
-        }
-        line.text("service", record->service)
-            .text("dataCentre", record->dataCentre)
-            .flag("leaving", record->isDraining)
-            .number("coldMs", absl::ToInt64Milliseconds(record->coldDuration))
-            .number("startedAtMs", record->startedAtMs);
-        m_context.node.applyTarget(*record, first, now);
-        if (record->isDraining)
+        if (!first || !record)
+            logTarget(change, record);
+        if (record)
+            m_context.node.applyTarget(*record, first, now);
+        else if (change.value)
+            m_context.node.dropTarget(id);
+        else
+            m_context.node.removeTarget(id, now);
+        if (!record || record->isDraining)
             m_context.pool.closeIdle(id);
     }
 }
 
-void store_feed::onTargetsReachabilityChanged(bool isReachable)
+void store_feed::logTarget(const key_change &change, const std::optional<target_record> &record)
 {
-    if (isReachable)
+    auto line = m_context.log.line(record ? "target" : "target_removed");
+    line.text("target", platform::targetIdOf(change.key)).number("revision", change.revision);
+    if (!record) {
+        line.flag("unreadable", change.value.has_value());
+        return;
+    }
+    line.text("service", record->service)
+        .text("dataCentre", record->dataCentre)
+        .flag("leaving", record->isDraining)
+        .number("coldMs", absl::ToInt64Milliseconds(record->coldDuration))
+        .number("startedAtMs", record->startedAtMs);
+}
+
+void store_feed::onTargetsCurrentChanged(bool isCurrent)
+{
+    if (isCurrent)
         m_context.node.directory().onListAvailable(edgeNow());
     else
         m_context.node.directory().onListUnavailable(edgeNow());
@@ -162,9 +224,9 @@
     updateRouters(now);
 }
 
-void store_feed::onMembersReachabilityChanged(bool isReachable)
+void store_feed::onMembersCurrentChanged(bool isCurrent)
 {
-    if (isReachable)
+    if (isCurrent)
         m_memberTable.onRecordsReadable(edgeNow());
 }
 
@@ -178,44 +240,46 @@
         group.members.push_back(entry.vm);
         hosts.push_back(entry.host);
     }
-    if (group == m_context.node.routers() && hosts == m_peerHosts)
+    const bool isFirst = !std::exchange(m_areRoutersKnown, true);
+    if (!isFirst && group == m_context.node.routers() && hosts == m_peerHosts)
         return;
     m_peerHosts = hosts;
     m_context.log.line("routers").number("count", static_cast<std::int64_t>(group.members.size()));
     m_peers.setPeers(std::move(hosts));
+    for (mirror_session *session : sessions()) {
+        session->setRouters(group.members);
+        session->update(now);
+    }
     m_context.node.setRouters(std::move(group));
 }
 
 void store_feed::maintain(absl::Time now)
 {
     const fleet_view &fleet = m_context.node.fleet();
-    const router_group &routers = m_context.node.routers();
-    // Watches wait longer the more routers there are, so that their total load on the store stays
-    // the same. The router that receives a change first reports it to the others, whose watches may
-    // have become unresponsive.
-    const watch_timeouts timeouts = watchTimeouts(routers.members.size(), rankOf(routers));
     std::size_t prefix = 0;
     for (mirror_session *session : sessions()) {
-        session->setWatchTimeouts(timeouts);
-        session->onChangeReportedByPeer(fleet.lastChangeRevision(prefix, now), now);
+        session->onPeerRevision(fleet.lastChangeRevision(prefix, now), now);
+        session->update(now);
         ++prefix;
     }
+    m_context.node.directory().onListConfirmed(m_targets.follower().confirmedAt());
     maintainMembership(now);
 }
 
 void store_feed::maintainMembership(absl::Time now)
 {
-    if (m_isWriting || !m_members.follower().isReachable()
-        || !m_members.follower().mirror().isComplete())
+    if (m_isWriting || !m_members.follower().isCurrent(now))
         return;
     updateRouters(now);
+    if (now < m_writeAllowedAt)
+        return;
     if (now - m_recordRenewedAt >= member_table::renewalInterval) {
         write(platform::writeCall(memberPrefix + m_options.vm, m_options.host),
               [this, now] { m_recordRenewedAt = now; });
         return;
     }
     const std::vector<member> expired = m_memberTable.expired(now);
-    if (expired.empty())
+    if (expired.empty() || !m_members.follower().isReader(now))
         return;
     m_context.log.line("router_forgotten").text("router", expired.front().vm);
     write(platform::removeCall(memberPrefix + expired.front().vm, expired.front().revision), [] {});
@@ -228,15 +292,16 @@
         {.method = call.method, .target = call.target, .body = call.body, .timeout = writeTimeout},
         [this, onDone = std::move(onDone)](const std::optional<http_result> &result) {
             m_isWriting = false;
-            if (result && result->status == statusOk)
+            if (result && result->status == statusOk) {
                 onDone();
-            else
-                m_context.log.line("store_write_failed")
-                    .number("status", result ? result->status : 0);
+                return;
+            }
+            m_writeAllowedAt = edgeNow() + writeRetryDelay;
+            m_context.log.line("store_write_failed").number("status", result ? result->status : 0);
         });
 }
 
-status_page store_feed::mirrorPage(const std::string &path) const
+status_page store_feed::mirrorPage(const std::string &path)
 {
     for (const mirror_session *session : sessions()) {
         const std::string start = mirrorPath + session->follower().mirror().prefix() + "?after=";
@@ -246,6 +311,8 @@
         std::from_chars(path.data() + start.size(), path.data() + path.size(), revision);
         std::string copy = session->encodedCopyAfter(revision);
         const int status = copy.empty() ? statusNoContent : statusOk;
+        if (!m_copyLimiter.tryTake(copy.size(), edgeNow()))
+            return {.status = statusUnavailable, .body = {}};
         return {.status = status, .body = std::move(copy)};
     }
     return {.status = statusNotFound, .body = {}};
--- a/apps/edge/store_feed.h
+++ b/apps/edge/store_feed.h
@@ -7,10 +7,13 @@
 #include "apps/edge/status_connection.h"
 #include "membership/table/member_table.h"
 #include "platform/store_dialect.h"
+#include "replication/copy/transfer_limiter.h"
 
 #include <array>
+#include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +27,8 @@
     std::string vm;
     /** Host at which other routers reach this one. */
     std::string host;
+    /** How often a target renews its record. */
+    absl::Duration targetHeartbeat = absl::Seconds(1);
 };
 
 /**
@@ -36,21 +41,31 @@
     store_feed(edge_context &context, peer_exchange &peers, store_feed_options options);
 
     void start();
-    /** Renews watches that fell behind, and this router's record; must be called periodically. */
+    /** Keeps the replicas current and renews this router's record; must be called periodically. */
     void maintain(absl::Time now);
     /** True once configuration, targets and routers are known. */
     bool isComplete() const;
     /** Returns the copy of a prefix for another router; the path names prefix and revision. */
-    status_page mirrorPage(const std::string &path) const;
+    status_page mirrorPage(const std::string &path);
 
 private:
     void onConfiguration(const std::vector<key_change> &changes);
     void onTargets(const std::vector<key_change> &changes, bool first);
-    void onTargetsReachabilityChanged(bool isReachable);
+    /** Logs what became of a target's record. */
+    void logTarget(const key_change &change, const std::optional<target_record> &record);
+    void onTargetsCurrentChanged(bool isCurrent);
+    void onUpdate(const mirror_update &update, const std::string &host);
     void maintainMembership(absl::Time now);
     void onMembers();
-    void onMembersReachabilityChanged(bool isReachable);
+    void onMembersCurrentChanged(bool isCurrent);
     void updateRouters(absl::Time now);
+    /** Returns the options of the session at a position in sessions(). */
+    follower_options followerOptions(std::string prefix, std::size_t position) const;
+    /** Returns the callbacks that all sessions have in common. */
+    mirror_callbacks commonCallbacks();
+    mirror_callbacks configurationCallbacks();
+    mirror_callbacks targetCallbacks();
+    mirror_callbacks memberCallbacks();
     /** Starts a write, one at a time; onDone is called once the store has accepted it. */
     void write(const platform::store_call &call, std::function<void()> onDone);
 
@@ -70,12 +85,16 @@
     mirror_session m_configuration;
     mirror_session m_targets;
     mirror_session m_members;
+    transfer_limiter m_copyLimiter;
     std::shared_ptr<http_client> m_writer;
     bool m_isWriting = false;
     member_table m_memberTable;
+    bool m_areRoutersKnown = false;
     /** Hosts of the other routers that are currently in use. */
     std::vector<std::string> m_peerHosts;
     absl::Time m_recordRenewedAt = absl::InfinitePast();
+    /** When the store may be written to again after a failure. */
+    absl::Time m_writeAllowedAt = absl::InfinitePast();
 };
 
 } // namespace quetzal
--- a/bench/emulator/fleet/emulated_fleet.h
+++ b/bench/emulator/fleet/emulated_fleet.h
@@ -88,6 +88,7 @@
     void cancel(const std::string &vm, const network_address &address,
                 std::uint64_t exchange) override;
     void sendDigest(const std::string &vm, const peer_digest &digest) override;
+    void sendUpdate(const std::string &vm, const mirror_update &update) override;
     std::uint64_t nextExchange() override { return ++m_lastExchange; }
 
 private:
@@ -122,8 +123,11 @@
     emulated_vm &findVm(const std::string &name);
     /** Returns the one-way network delay between two data centres. */
     absl::Duration delay(const std::string &from, const std::string &to) const;
-    std::optional<listing_page> copyFromPeer(const std::string &vm, std::size_t prefix,
-                                             std::int64_t revision);
+    /** Requests a newer copy of the router of a name, or of any if the name is empty. */
+    copy_answer copyFromPeer(const std::string &vm, const std::string &peer, std::size_t prefix,
+                             std::int64_t revision);
+    /** Delivers a datagram to all other routers that it reaches. */
+    void sendToOthers(const std::string &vm, const std::function<void(emulated_router &)> &receive);
     void notifyTargetClosed(const network_address &address);
 
     event_queue &m_events;
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -87,6 +87,8 @@
     /** Must be called when the caller of a request disconnected. */
     void onCallerDisconnected(std::uint64_t number);
     void onDigest(const peer_digest &digest);
+    /** Receives another router's update of a replica. */
+    void onUpdate(const mirror_update &update);
     /** Must be called when a target closed its connections. */
     void onTargetClosed(const network_address &address);
     /**
@@ -101,13 +103,11 @@
     /** Ends the process at once; the connections of callers break, those of targets close. */
     void end();
     /** Returns the copy of a prefix if it is newer than the revision; else nullopt. */
-    std::optional<listing_page> copyAfter(std::size_t prefix, std::int64_t revision) const;
-    /** Sets the function that returns a newer copy of a prefix from another router. */
-    void setCopyFromPeer(
-        std::function<std::optional<listing_page>(std::size_t, std::int64_t)> copyFromPeer)
-    {
-        m_copyFromPeer = std::move(copyFromPeer);
-    }
+    std::optional<mirror_copy> copyAfter(std::size_t prefix, std::int64_t revision) const;
+    /** A function that requests a newer copy of a prefix of the router of a name, or of any. */
+    using copy_source = std::function<copy_answer(const std::string &vm, std::size_t prefix,
+                                                  std::int64_t revision)>;
+    void setCopyFromPeer(copy_source copyFromPeer) { m_copyFromPeer = std::move(copyFromPeer); }
 
 private:
     struct request_record
@@ -160,7 +160,9 @@
     digest_schedule m_digestSchedule;
     std::vector<std::unique_ptr<emulated_mirror>> m_mirrors;
     member_table m_members;
-    std::function<std::optional<listing_page>(std::size_t, std::int64_t)> m_copyFromPeer;
+    copy_source m_copyFromPeer;
+    /** True once a digest or an update of another router was received. */
+    bool m_hasHeardPeer = false;
     std::unique_ptr<emulated_processor> m_processor;
     /** The requests on connections that are not accepted yet, in the order of arrival. */
     std::deque<std::uint64_t> m_acceptQueue;
--- a/bench/emulator/router/fleet_network.h
+++ b/bench/emulator/router/fleet_network.h
@@ -3,6 +3,7 @@
 #include "directory/target/target_record.h"
 #include "emulator/target/target_messages.h"
 #include "exchange/digest/load_digest.h"
+#include "replication/update/mirror_update.h"
 #include "simulation/event_queue.h"
 
 #include <absl/time/time.h>
@@ -45,6 +46,8 @@
         = 0;
     /** Sends a digest to all other routers. */
     virtual void sendDigest(const std::string &vm, const peer_digest &digest) = 0;
+    /** Sends an update of a replica to all other routers. */
+    virtual void sendUpdate(const std::string &vm, const mirror_update &update) = 0;
     /** Returns a unique number for an exchange. */
     virtual std::uint64_t nextExchange() = 0;
 };
--- a/bench/emulator/store/emulated_store.h
+++ b/bench/emulator/store/emulated_store.h
@@ -46,6 +46,8 @@
     void remove(const std::string &key);
     /** Returns the revision of the last change. */
     std::int64_t revision() const { return m_revision; }
+    /** Returns all keys in their order. */
+    std::vector<stored_item> items() const;
 
     /** Lists a page of the keys below a prefix, after a key. */
     void list(const std::string &router, const std::string &prefix, const std::string &afterKey,
@@ -58,6 +60,10 @@
     void setModeFor(const std::string &router, store_mode mode) { m_modes[router] = mode; }
     /** True while it serves routers without a mode of their own. */
     bool isServing() const { return m_mode == store_mode::Serving; }
+    /** Sets how many calls of all routers are served in a second; more are rejected. */
+    void setCallLimit(int callsPerSecond) { m_callLimit = callsPerSecond; }
+    /** Returns the number of calls so far, rejected ones included. */
+    std::int64_t callCount() const { return m_callCount; }
     /** Sets the latency of answers. */
     void setLatency(absl::Duration latency) { m_latency = latency; }
     /** Discards the history and ends pending watches with history_lost. */
@@ -82,6 +88,8 @@
                 const store_callback &callback);
     change_page changesAfter(const std::string &prefix, std::int64_t after) const;
     void completeWatches();
+    /** Counts a call; true if it is beyond the limit. */
+    bool countCall();
 
     event_queue &m_events;
     absl::btree_map<std::string, stored_item> m_items;
@@ -92,6 +100,11 @@
     absl::flat_hash_map<std::string, store_mode> m_modes;
     absl::Duration m_latency = absl::Milliseconds(4);
     std::vector<pending_watch> m_pendingWatches;
+    std::optional<int> m_callLimit;
+    std::int64_t m_callCount = 0;
+    /** The calls within the current second. */
+    int m_recentCalls = 0;
+    std::int64_t m_recentSecond = 0;
 };
 
 } // namespace quetzal::bench
--- a/modules/directory/directory.h
+++ b/modules/directory/directory.h
@@ -9,7 +9,6 @@
  */
 
 #include "directory/mirror/mirror_codec.h"
-#include "directory/mirror/mirror_follower.h"
 #include "directory/mirror/mirror_messages.h"
 #include "directory/mirror/prefix_mirror.h"
 #include "directory/target/ipv4_address.h"
--- a/modules/directory/mirror/mirror_codec.h
+++ b/modules/directory/mirror/mirror_codec.h
@@ -8,10 +8,13 @@
 
 namespace quetzal {
 
-/** Encodes a complete listing for another router (MessagePack). */
-std::string encodeMirror(const listing_page &page);
+/** Encodes a copy for another router (MessagePack). */
+std::string encodeMirror(const mirror_copy &copy);
 
-/** Decodes such a listing; returns nothing if it is malformed. */
-std::optional<listing_page> decodeMirror(std::string_view bytes);
+/**
+ * Decodes such a copy; returns nothing if it is malformed. The copy of a router of an earlier
+ * version does not tell its age, which is the maximum then.
+ */
+std::optional<mirror_copy> decodeMirror(std::string_view bytes);
 
 } // namespace quetzal
--- a/modules/directory/mirror/mirror_messages.h
+++ b/modules/directory/mirror/mirror_messages.h
@@ -2,6 +2,8 @@
 
 #include "directory/mirror/prefix_mirror.h"
 
+#include <absl/time/time.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <vector>
@@ -34,4 +36,18 @@
     bool operator==(const change_page &) const = default;
 };
 
+/** The replica of a prefix as one router gives it to another. */
+struct mirror_copy
+{
+    std::vector<stored_item> items;
+    /** The revision up to which all changes are contained. */
+    std::int64_t revision = 0;
+    /** The lowest revision from which on the prefix is known not to have changed. */
+    std::int64_t unchangedSince = 0;
+    /** The time since the service confirmed that the replica was current. */
+    absl::Duration age;
+
+    bool operator==(const mirror_copy &) const = default;
+};
+
 } // namespace quetzal
--- a/modules/directory/target/target_directory.h
+++ b/modules/directory/target/target_directory.h
@@ -52,6 +52,8 @@
     void onListUnavailable(absl::Time now);
     /** Must be called when the list can be read again. */
     void onListAvailable(absl::Time now);
+    /** Must be called with the time up to which the list is known to be complete. */
+    void onListConfirmed(absl::Time asOf) { m_listConfirmedAt = asOf; }
     /**
      * Adds or updates a target. coldStart is the minimum time for which a new incarnation is cold;
      * zero for targets of the first listing, which are not known to be new.
@@ -83,7 +85,8 @@
     void markAlive(const std::string &id, absl::Time since);
     /**
      * True if the target must be treated as cold: its cold period has not ended, or it was
-     * unreachable and the list has not been available for long enough since then to show a restart.
+     * unreachable and the list is not known to be complete for long enough since then to show a
+     * restart.
      */
     bool isCold(const target_state &state, absl::Time now) const;
     /** Extends the cold period of a target, as reported by the target itself. */
@@ -120,6 +123,7 @@
     absl::flat_hash_set<std::string> m_evacuated;
     bool m_isListUnavailable = false;
     absl::Time m_listAvailableSince = absl::InfinitePast();
+    absl::Time m_listConfirmedAt = absl::InfinitePast();
 };
 
 } // namespace quetzal
--- a/modules/exchange/exchange.h
+++ b/modules/exchange/exchange.h
@@ -13,4 +13,5 @@
 #include "exchange/digest/digest_codec.h"
 #include "exchange/digest/load_digest.h"
 #include "exchange/interval/digest_interval.h"
+#include "exchange/peers/peer_list.h"
 #include "exchange/view/fleet_view.h"
--- a/modules/membership/membership.h
+++ b/modules/membership/membership.h
@@ -1,8 +1,7 @@
 #pragma once
 
 /**
- * Module membership: the routers that share the limits of the fleet and the load of reading the
- * key-value service.
+ * Module membership: the routers that share the limits of the fleet.
  *
  * Member records have no lease and are renewed periodically, so that a partitioned router stays a
  * member while it may still spend its share of a limit. Depends on directory; opens no connection
@@ -10,4 +9,3 @@
  */
 
 #include "membership/table/member_table.h"
-#include "membership/watch/watch_timeouts.h"
--- /dev/null
+++ b/modules/replication/follower/mirror_follower.cpp
@@ -0,0 +1,354 @@
+#include "replication/follower/mirror_follower.h"
+
+#include "foundation/hashing/stable_hash.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace quetzal {
+
+namespace {
+
+/** How long a router that starts waits to hear another one before it calls the service. */
+constexpr absl::Duration firstHearTime = absl::Milliseconds(30);
+/** The time between the first listings of two routers that start at the same time. */
+constexpr absl::Duration listingDelayPerRank = absl::Milliseconds(2);
+constexpr absl::Duration maxListingDelay = absl::Milliseconds(600);
+/** The first listings are spread over this time while the routers are not known. */
+constexpr absl::Duration unknownRankSpread = absl::Milliseconds(300);
+/** How much longer copies are requested when a router is known to have one. */
+constexpr absl::Duration expectedCopyTime = absl::Milliseconds(600);
+/** How long after the start a first copy must be recent. */
+constexpr absl::Duration recentCopyTime = absl::Seconds(2);
+/** The requests of a large fleet for a missed update are spread over this time. */
+constexpr absl::Duration maxCopySpread = absl::Milliseconds(300);
+constexpr double routersForMaxSpread = 200.0;
+/** The routers that call a failing service make one call each in this time, all together. */
+constexpr absl::Duration retryDelayPerRouter = absl::Milliseconds(10);
+/** The shortest time after which an idle follower determines its step again. */
+constexpr absl::Duration minIdleTime = absl::Milliseconds(10);
+
+/** Returns a number between 0 and 1 that is evenly distributed over the routers. */
+double spreadOf(const follower_options &options)
+{
+    constexpr std::uint64_t steps = 1024;
+    return static_cast<double>(stableHash(options.prefix + options.self) % steps) / steps;
+}
+
+/** Returns the time left until a moment; zero if it has passed. */
+absl::Duration timeUntil(absl::Time moment, absl::Time now)
+{
+    return std::max(moment - now, absl::ZeroDuration());
+}
+
+} // namespace
+
+mirror_follower::mirror_follower(follower_options options)
+    : m_options(std::move(options))
+    , m_order(m_options.prefix, m_options.self)
+    , m_mirror(m_options.prefix)
+    , m_spread(spreadOf(m_options))
+{
+}
+
+void mirror_follower::setRouters(const std::vector<std::string> &members)
+{
+    m_order.setRouters(members);
+    m_areRoutersKnown = true;
+}
+
+follower_step mirror_follower::next(absl::Time now, bool hasPeers) const
+{
+    if (m_isCopyTurn && hasPeers)
+        return {.kind = follower_step::action::Copy,
+                .delay = timeUntil(m_storeAnsweredAt + copyInterval, now)};
+    if (!m_mirror.isComplete()) {
+        const auto step = firstCopyStep(now, hasPeers);
+        return step ? *step : listStep(now);
+    }
+    if (m_isListing)
+        return listStep(now);
+    if (m_missed) {
+        const auto step = hasPeers ? missedUpdateStep(now) : std::nullopt;
+        return step ? *step : watchStep(now);
+    }
+    // Updates that are heard but do not fit the replica do not keep it current.
+    if (isReader(now) || !isCurrent(now))
+        return watchStep(now);
+    const absl::Time takeoverAt
+        = std::min(m_readerHeardAt + m_order.takeoverDelay(), m_confirmedAt + m_options.maxAge);
+    return {.kind = follower_step::action::Idle, .delay = std::max(takeoverAt - now, minIdleTime)};
+}
+
+absl::Time mirror_follower::firstListingAt() const
+{
+    absl::Time listAt = m_options.startedAt + firstHearTime;
+    if (m_isCopyExpected)
+        listAt += expectedCopyTime;
+    if (m_options.listsAtOnce)
+        return listAt;
+    if (!m_areRoutersKnown)
+        return listAt + unknownRankSpread * m_spread;
+    return listAt
+        + std::min(listingDelayPerRank * static_cast<double>(m_order.rank()), maxListingDelay);
+}
+
+std::optional<follower_step> mirror_follower::firstCopyStep(absl::Time now, bool hasPeers) const
+{
+    const bool isListingBegun = m_listedRevision.has_value() || m_failures > 0;
+    const absl::Duration timeLeft = firstListingAt() - now;
+    if (isListingBegun || timeLeft <= absl::ZeroDuration())
+        return std::nullopt;
+    if (!hasPeers)
+        return follower_step {.kind = follower_step::action::Idle, .delay = timeLeft};
+    return follower_step {.kind = follower_step::action::Copy,
+                          .host = m_copyHost,
+                          .delay = std::min(timeUntil(m_lastCopyAt + copyInterval, now), timeLeft)};
+}
+
+std::optional<follower_step> mirror_follower::missedUpdateStep(absl::Time now) const
+{
+    if (m_missed->copyAttempts >= maxCopyAttempts)
+        return std::nullopt;
+    const absl::Time copyAt = std::max(m_missed->since + copySpread(), m_lastCopyAt + copyInterval);
+    return follower_step {.kind = follower_step::action::Copy,
+                          .host = m_missed->copyAttempts == 0 ? m_missed->host : std::string(),
+                          .delay = timeUntil(copyAt, now)};
+}
+
+follower_step mirror_follower::listStep(absl::Time now) const
+{
+    follower_step step {.kind = follower_step::action::List,
+                        .delay = timeUntil(m_storeAnsweredAt + retryDelay(), now)};
+    if (!m_listed.empty())
+        step.afterKey = m_listed.back().key;
+    return step;
+}
+
+follower_step mirror_follower::watchStep(absl::Time now) const
+{
+    const bool isConfirmationDue = m_isAnnouncementDue || now - m_confirmedAt > watchTimeout;
+    absl::Duration delay = retryDelay();
+    if (m_hadChanges && !m_missed)
+        delay = std::max(delay, batchDelay);
+    return {.kind = follower_step::action::Watch,
+            .revision = m_mirror.revision(),
+            .wait = isConfirmationDue ? shortWatchTimeout : watchTimeout,
+            .delay = timeUntil(m_storeAnsweredAt + delay, now)};
+}
+
+absl::Duration mirror_follower::retryDelay() const
+{
+    if (m_failures == 0)
+        return absl::ZeroDuration();
+    const absl::Duration shared = retryDelayPerRouter * static_cast<double>(m_order.rank());
+    const absl::Duration longest = std::min(std::max(maxRetryDelay, shared), maxSharedRetryDelay);
+    return std::min(initialRetryDelay * m_failures, longest);
+}
+
+absl::Duration mirror_follower::copySpread() const
+{
+    const double fleet = static_cast<double>(m_order.routerCount()) / routersForMaxSpread;
+    return maxCopySpread * std::min(fleet, 1.0) * m_spread;
+}
+
+bool mirror_follower::isWatchBehind(absl::Time now) const
+{
+    return m_missed && now - m_missed->since >= maxWatchLag;
+}
+
+bool mirror_follower::isReader(absl::Time now) const
+{
+    return m_order.rank() == 0 || now - m_readerHeardAt >= m_order.takeoverDelay();
+}
+
+bool mirror_follower::isCurrent(absl::Time now) const
+{
+    return m_mirror.isComplete() && now - m_confirmedAt <= m_options.maxAge;
+}
+
+void mirror_follower::confirm(std::int64_t revision, absl::Time asOf)
+{
+    if (revision >= m_mirror.revision())
+        m_confirmedAt = std::max(m_confirmedAt, asOf);
+    if (m_missed && m_mirror.revision() >= m_missed->revision)
+        m_missed.reset();
+}
+
+std::vector<key_change> mirror_follower::onListing(const listing_page &page, absl::Time now)
+{
+    onStoreAnswer(now);
+    if (!m_listedRevision) {
+        m_listedRevision = page.revision;
+        m_listedAt = now;
+        m_isMistaken = m_isMistaken || page.revision < m_revisionOfLoss;
+    }
+    m_listed.insert(m_listed.end(), page.items.begin(), page.items.end());
+    if (page.hasMore && !page.items.empty())
+        return {};
+    m_isListing = false;
+    const bool wasComplete = m_mirror.isComplete();
+    const std::int64_t previous = m_mirror.revision();
+    const std::int64_t revision = *std::exchange(m_listedRevision, std::nullopt);
+    const std::vector<stored_item> listed = std::exchange(m_listed, {});
+    const bool isReplaced = std::exchange(m_isMistaken, false);
+    std::vector<key_change> changes = isReplaced ? m_mirror.replaceBy(listed, revision)
+                                                 : m_mirror.applyListing(listed, revision);
+    confirm(revision, m_listedAt);
+    m_isAnnouncementDue = !wasComplete;
+    if (wasComplete && !isReplaced && revision > previous && isReader(now))
+        m_outgoing = {.vm = m_options.self,
+                      .prefix = m_options.position,
+                      .after = previous,
+                      .revision = revision,
+                      .isDifference = true,
+                      .changes = changes};
+    return changes;
+}
+
+std::vector<key_change> mirror_follower::onChanges(const change_page &page,
+                                                   std::int64_t watchedFrom, absl::Time now)
+{
+    onStoreAnswer(now);
+    if (page.revision < watchedFrom) {
+        onHistoryLost(now);
+        m_isMistaken = true;
+        m_missed.reset();
+        return {};
+    }
+    m_isAnnouncementDue = false;
+    m_hadChanges = !page.changes.empty();
+    const std::int64_t after = std::min(watchedFrom, m_mirror.unchangedSince());
+    std::vector<key_change> changes = m_mirror.applyChanges(page.changes, page.revision);
+    confirm(page.revision, now);
+    // The service itself does not know of a change that was announced but not found in copies.
+    if (m_missed && m_missed->copyAttempts >= maxCopyAttempts)
+        m_missed.reset();
+    if (isReader(now))
+        m_outgoing = {.vm = m_options.self,
+                      .prefix = m_options.position,
+                      .after = after,
+                      .revision = page.revision,
+                      .changes = page.changes};
+    return changes;
+}
+
+void mirror_follower::onHistoryLost(absl::Time now)
+{
+    onStoreAnswer(now);
+    dropListing();
+    m_isListing = true;
+    m_revisionOfLoss = m_mirror.revision();
+}
+
+void mirror_follower::dropListing()
+{
+    m_isListing = false;
+    m_listed.clear();
+    m_listedRevision.reset();
+}
+
+void mirror_follower::onStoreAnswer(absl::Time now)
+{
+    m_failures = 0;
+    m_storeAnsweredAt = now;
+}
+
+void mirror_follower::onFailure(absl::Time now)
+{
+    ++m_failures;
+    m_storeAnsweredAt = now;
+    m_isCopyTurn = true;
+}
+
+std::vector<key_change> mirror_follower::onCopy(const mirror_copy &copy, absl::Time now)
+{
+    const bool isFirst = !m_mirror.isComplete();
+    const bool mustBeRecent = isFirst && now < m_options.startedAt + recentCopyTime;
+    if (copy.revision <= m_mirror.revision() || (mustBeRecent && copy.age > maxFirstCopyAge)) {
+        onCopyFailed(now);
+        return {};
+    }
+    m_isCopyTurn = false;
+    m_lastCopyAt = now;
+    dropListing();
+    std::vector<key_change> changes
+        = m_mirror.applyListing(copy.items, copy.revision, copy.unchangedSince);
+    confirm(copy.revision, now - copy.age);
+    m_readerHeardAt = std::max(m_readerHeardAt, now - copy.age);
+    if (m_missed)
+        ++m_missed->copyAttempts;
+    return changes;
+}
+
+void mirror_follower::onCopyFailed(absl::Time now)
+{
+    m_isCopyTurn = false;
+    m_lastCopyAt = now;
+    m_copyHost.clear();
+    if (m_missed)
+        ++m_missed->copyAttempts;
+}
+
+std::vector<key_change> mirror_follower::onUpdate(const mirror_update &update,
+                                                  const std::string &host, absl::Time now)
+{
+    if (m_order.precedes(update.vm))
+        m_readerHeardAt = std::max(m_readerHeardAt, now);
+    if (!m_mirror.isComplete()) {
+        m_copyHost = host;
+        m_isCopyExpected = true;
+    }
+    if (!m_mirror.isComplete() || update.revision < m_mirror.revision())
+        return {};
+    const bool isConnected = update.isDifference
+        ? m_mirror.unchangedSince() <= update.after && update.after <= m_mirror.revision()
+        : update.after <= m_mirror.revision();
+    if (!isConnected && update.revision > m_mirror.revision()) {
+        onMissed(update.revision, host, now);
+        return {};
+    }
+    // The service may have kept the history from here on.
+    if (update.revision > m_mirror.revision() && !m_isMistaken)
+        dropListing();
+    std::vector<key_change> changes = m_mirror.applyChanges(update.changes, update.revision);
+    confirm(update.revision, now);
+    return changes;
+}
+
+void mirror_follower::onPeerRevision(std::int64_t revision, absl::Time now)
+{
+    if (!m_mirror.isComplete() || revision <= m_mirror.revision()) {
+        m_behindSince = absl::InfiniteFuture();
+        return;
+    }
+    m_behindSince = std::min(m_behindSince, now);
+    if (now - m_behindSince < maxUpdateLag)
+        return;
+    m_behindSince = absl::InfiniteFuture();
+    onMissed(revision, {}, now);
+}
+
+void mirror_follower::onMissed(std::int64_t revision, const std::string &host, absl::Time now)
+{
+    if (!m_missed)
+        m_missed = {.revision = revision, .host = host, .since = now};
+    m_missed->revision = std::max(m_missed->revision, revision);
+}
+
+std::optional<mirror_update> mirror_follower::takeUpdate()
+{
+    return std::exchange(m_outgoing, std::nullopt);
+}
+
+std::optional<mirror_copy> mirror_follower::copyAfter(std::int64_t revision, absl::Time now) const
+{
+    if (!m_mirror.isComplete() || m_mirror.revision() <= revision)
+        return std::nullopt;
+    return mirror_copy {.items = m_mirror.items(),
+                        .revision = m_mirror.revision(),
+                        .unchangedSince = m_mirror.unchangedSince(),
+                        .age = now - m_confirmedAt};
+}
+
+} // namespace quetzal
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -2,6 +2,7 @@
 #include "apps/edge/peer_exchange.h"
 #include "edge/edge_fixture.h"
 #include "exchange/exchange.h"
+#include "replication/replication.h"
 #include "standins/platform/platform_store.h"
 
 #include <catch2/catch.hpp>
@@ -509,6 +510,46 @@
         other.setMode(store_mode::Up);
     }
 
+    SECTION("malformed datagrams and requests of other routers end nothing")
+    {
+        const mirror_update update {.vm = "vm-x",
+                                    .prefix = 0,
+                                    .after = 1,
+                                    .revision = 1000000,
+                                    .changes = {{.key = "op/config", .value = "{", .revision = 9}}};
+        mirror_update beyond = update;
+        beyond.prefix = 60;
+        const std::string digest = encodeDigest(backlog_digest {.vm = "vm-x", .sequence = 1});
+        boost::asio::io_context senders;
+        boost::asio::ip::udp::socket sender(senders, boost::asio::ip::udp::v4());
+        const boost::asio::ip::udp::endpoint exchange(
+            boost::asio::ip::make_address_v4(router.address().host), 17400);
+        constexpr std::size_t maxBytes = 8000;
+        for (const std::string &sample :
+             {encodeUpdate(update, maxBytes).front(), encodeUpdate(beyond, maxBytes).front(),
+              digest, std::string(1000, '\x91'), std::string()}) {
+            for (std::size_t length = 0; length <= sample.size(); ++length)
+                sender.send_to(boost::asio::buffer(sample.substr(0, length)), exchange);
+            for (std::size_t changed = 0; changed < sample.size(); ++changed) {
+                std::string odd = sample;
+                odd[changed] = static_cast<char>(~odd[changed]);
+                sender.send_to(boost::asio::buffer(odd), exchange);
+            }
+        }
+        for (const std::string path : {"/mirror/", "/mirror/op/?after=x", "/mirror/op/?after=-9",
+                                       "/mirror/op/?after=99999999999999999999", "/"}) {
+            caller peer({.host = router.address().host, .port = 17400});
+            peer.send("GET " + path + " HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+            CHECK(peer.readAll().starts_with("HTTP/1.1 "));
+        }
+        CHECK(eventually([&] { return router.metricOf("datagrams_unreadable") > 100; }));
+        CHECK(router.answerTo(post("/safe/x", "m", "answer")).starts_with("HTTP/1.1 200"));
+        keys->write("op/config", configuration(30, 250));
+        CHECK(eventually([&] {
+            return router.answerTo(post("/safe/x", "m2", "slow")).starts_with("HTTP/1.1 504");
+        }));
+    }
+
     SECTION("a graceful shutdown reports not ready and completes open requests")
     {
         caller open(router.address());
