Nothing depends on the time of day: incarnation of a router, a test that sets it forth and back

All decisions use the boot clock, but the incarnation in digests was the time of day alone: set back by just the time between two runs, the digests of the second are taken for old ones. Change: the incarnation is a hash of time of day, boot clock and process.

--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -1,11 +1,13 @@
 #include "apps/edge/edge_process.h"
 
 #include "apps/edge/edge_clock.h"
+#include "foundation/hashing/stable_hash.h"
 #include "platform/request_dialect.h"
 
 #include <algorithm>
 #include <chrono>
 #include <csignal>
+#include <unistd.h>
 #include <utility>
 
 namespace quetzal {
@@ -53,13 +55,24 @@
             .coldAllowance = settings.coldAllowance * coldLimitSafetyFactor};
 }
 
+/**
+ * Returns a number that differs between runs of the process. The time of day alone may be the same
+ * in two of them, as it may be set back.
+ */
+std::uint64_t newIncarnation()
+{
+    const std::string run = std::to_string(timeOfDayMs()) + ' '
+        + std::to_string(absl::ToUnixNanos(edgeNow())) + ' ' + std::to_string(getpid());
+    return stableHash(run);
+}
+
 forwarding_options nodeOptions(const edge_settings &settings)
 {
     return {.dataCentre = settings.dataCentre,
             .routers = {.self = settings.vm, .members = {settings.vm}},
             .fleet = fleetLimits(settings),
             .processorShare = settings.processorShare,
-            .incarnation = static_cast<std::uint64_t>(timeOfDayMs())};
+            .incarnation = newIncarnation()};
 }
 
 /** Returns the number of connections from callers above which idle ones are closed. */
@@ -143,6 +156,7 @@
     m_log.line("started")
         .text("dataCentre", m_settings.dataCentre)
         .text("version", QUETZAL_VERSION);
+    m_activityLoggedAt = edgeNow();
     waitForSignal();
     m_feed.start();
     m_peers.start();
