Copies: bounded by bytes on the way, an old one soon in an outage, a silent listing is given up once

Change: 4 MB of copies at most are on the way at a time (one larger one alone), refused before they are encoded; a sent copy is freed and its connection closed. Of old first copies the newest is kept, and used after 0.5 s if nothing better was found; a first listing that takes 0.3 s is given up once for another router's copy, as a silent store holds it for 1.5 s.

--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -48,16 +48,29 @@
 void mirror_session::update(absl::Time now)
 {
     reportCurrent(now);
+    const bool first = !m_follower.mirror().isComplete();
+    reportChanges(m_follower.applyOldCopy(now), first);
     if (m_call == call_state::Watch && m_follower.isWatchBehind(now)) {
         m_log.line("watch_behind")
             .text("prefix", m_follower.mirror().prefix())
             .number("revision", m_follower.mirror().revision());
-        m_client->stop();
-        m_call = call_state::None;
+        abortCall();
+    }
+    const bool isListing = m_call == call_state::List;
+    if (isListing && m_follower.isFirstListingSlow(m_calledAt, now, m_callbacks.hasPeers())) {
+        m_log.line("listing_slow").text("prefix", m_follower.mirror().prefix());
+        abortCall();
+        m_follower.onFailure(now);
     }
     step();
 }
 
+void mirror_session::abortCall()
+{
+    m_client->stop();
+    m_call = call_state::None;
+}
+
 void mirror_session::onPeerRevision(std::int64_t revision, absl::Time now)
 {
     m_follower.onPeerRevision(revision, now);
@@ -103,6 +116,7 @@
     const std::string &prefix = m_follower.mirror().prefix();
     const bool isWatch = step.kind == follower_step::action::Watch;
     m_call = isWatch ? call_state::Watch : call_state::List;
+    m_calledAt = edgeNow();
     const platform::store_call call = isWatch
         ? platform::watchCall(prefix, step.revision, step.wait)
         : platform::listCall(prefix, step.afterKey);
@@ -194,6 +208,8 @@
                                   const std::optional<http_result> &result)
 {
     m_call = call_state::None;
+    // The other router keeps nothing for a connection that is not used again.
+    m_peerClient->stop();
     const absl::Time now = edgeNow();
     const bool first = !m_follower.mirror().isComplete();
     const auto copy
--- a/apps/edge/mirror_session.h
+++ b/apps/edge/mirror_session.h
@@ -69,6 +69,8 @@
         Copy,
     };
 
+    /** Ends the pending call to the store without a result. */
+    void abortCall();
     void step();
     void run(const follower_step &step);
     void callStore(const follower_step &step);
@@ -92,6 +94,8 @@
     mirror_callbacks m_callbacks;
     bool m_wasCurrent = false;
     call_state m_call = call_state::None;
+    /** When the pending call to the store began. */
+    absl::Time m_calledAt;
 };
 
 } // namespace quetzal
--- a/apps/edge/status_connection.cpp
+++ b/apps/edge/status_connection.cpp
@@ -67,6 +67,7 @@
         return;
     }
     const status_page page = m_answer(m_reader.head().target);
+    m_transfer = page.transfer;
     m_keepAlive = m_reader.head().keepAlive;
     response_head head {.status = page.status};
     head.fields.add("Content-Type", "text/plain; version=0.0.4");
@@ -79,6 +80,8 @@
 {
     boost::asio::async_write(m_socket, boost::asio::buffer(m_output),
                              [self = shared_from_this()](const error_code &error, std::size_t) {
+                                 self->m_output = std::string();
+                                 self->m_transfer.reset();
                                  if (error || !self->m_keepAlive)
                                      return;
                                  if (self->m_input.empty())
--- a/apps/edge/status_connection.h
+++ b/apps/edge/status_connection.h
@@ -18,6 +18,8 @@
 {
     int status = 200;
     std::string body;
+    /** Held until the page was sent. */
+    std::shared_ptr<const void> transfer;
 };
 
 /** HTTP connection that serves internal pages: readiness, metrics and mirror copies. */
@@ -43,6 +45,7 @@
     std::array<char, 2048> m_buffer {};
     std::string m_input;
     std::string m_output;
+    std::shared_ptr<const void> m_transfer;
     request_reader m_reader;
     bool m_keepAlive = true;
 };
--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -309,13 +309,17 @@
             continue;
         std::int64_t revision = 0;
         std::from_chars(path.data() + start.size(), path.data() + path.size(), revision);
+        if (m_copyLimiter.isFull())
+            return {.status = statusUnavailable};
         std::string copy = session->encodedCopyAfter(revision);
-        const int status = copy.empty() ? statusNoContent : statusOk;
-        if (!m_copyLimiter.tryTake(copy.size(), edgeNow()))
-            return {.status = statusUnavailable, .body = {}};
-        return {.status = status, .body = std::move(copy)};
+        if (copy.empty())
+            return {.status = statusNoContent};
+        auto transfer = m_copyLimiter.tryBegin(copy.size());
+        if (!transfer)
+            return {.status = statusUnavailable};
+        return {.status = statusOk, .body = std::move(copy), .transfer = std::move(transfer)};
     }
-    return {.status = statusNotFound, .body = {}};
+    return {.status = statusNotFound};
 }
 
 } // namespace quetzal
--- a/bench/emulator/store/emulated_mirror.cpp
+++ b/bench/emulator/store/emulated_mirror.cpp
@@ -40,11 +40,20 @@
 void emulated_mirror::update()
 {
     reportCurrent();
+    const bool first = !m_follower.mirror().isComplete();
+    reportChanges(m_follower.applyOldCopy(m_events.now()), first);
     if (m_isWatching && m_follower.isWatchBehind(m_events.now())) {
         m_isWatching = false;
         m_isCalling = false;
         ++m_lastCall;
     }
+    const bool isListing = m_isCalling && !m_isWatching && !m_isCopying;
+    if (isListing
+        && m_follower.isFirstListingSlow(m_calledAt, m_events.now(), m_callbacks.hasPeers())) {
+        m_isCalling = false;
+        ++m_lastCall;
+        m_follower.onFailure(m_events.now());
+    }
     if (!m_isCalling)
         step();
     m_events.after(updateInterval, [this] { m_callbacks.runWhenActive([this] { update(); }); });
@@ -82,6 +91,8 @@
         m_callbacks.runWhenActive([this, call, step, answer] { onResult(call, step, answer); });
     };
     m_isCalling = true;
+    m_isCopying = false;
+    m_calledAt = m_events.now();
     m_isWatching = step.kind == follower_step::action::Watch;
     if (m_isWatching)
         m_store.watch(m_router, prefix, step.revision, step.wait, step.wait + callTimeout,
@@ -94,6 +105,7 @@
 {
     const std::uint64_t call = ++m_lastCall;
     m_isCalling = true;
+    m_isCopying = true;
     const prefix_mirror &mirror = m_follower.mirror();
     const copy_answer answer
         = m_callbacks.copyFromPeer(step.host, mirror.isComplete() ? mirror.revision() : 0);
--- a/bench/emulator/store/emulated_mirror.h
+++ b/bench/emulator/store/emulated_mirror.h
@@ -85,6 +85,9 @@
     std::uint64_t m_lastWait = 0;
     bool m_isCalling = false;
     bool m_isWatching = false;
+    bool m_isCopying = false;
+    /** When the pending call to the store began. */
+    absl::Time m_calledAt;
     bool m_wasCurrent = false;
 };
 
--- a/modules/replication/copy/transfer_limiter.cpp
+++ b/modules/replication/copy/transfer_limiter.cpp
@@ -1,19 +1,23 @@
 #include "replication/copy/transfer_limiter.h"
 
-#include <algorithm>
-
 namespace quetzal {
 
-bool transfer_limiter::tryTake(std::size_t bytes, absl::Time now)
+bool transfer_limiter::isFull() const
+{
+    // A copy that is larger than the limit is sent all the same, but alone.
+    return *m_pendingBytes > 0 && *m_pendingBytes + m_lastBytes > maxPendingBytes;
+}
+
+transfer_limiter::transfer transfer_limiter::tryBegin(std::size_t bytes)
 {
-    const double seconds = std::max(absl::ToDoubleSeconds(now - m_refilledAt), 0.0);
-    m_refilledAt = now;
-    m_availableBytes = std::min(m_availableBytes + seconds * bytesPerSecond, maxBurstBytes);
-    // A copy that is larger than the limit is sent all the same, but nothing for a while after it.
-    if (m_availableBytes <= 0.0)
-        return false;
-    m_availableBytes -= static_cast<double>(bytes);
-    return true;
+    m_lastBytes = bytes;
+    if (isFull())
+        return nullptr;
+    *m_pendingBytes += bytes;
+    const auto release = [pending = m_pendingBytes, bytes](const char *) {
+        *pending -= bytes;
+    };
+    return std::shared_ptr<const char>("", release);
 }
 
 } // namespace quetzal
--- a/modules/replication/follower/mirror_follower.cpp
+++ b/modules/replication/follower/mirror_follower.cpp
@@ -19,7 +19,7 @@
 /** How much longer copies are requested when a router is known to have one. */
 constexpr absl::Duration expectedCopyTime = absl::Milliseconds(600);
 /** How long after the start a first copy must be recent. */
-constexpr absl::Duration recentCopyTime = absl::Seconds(2);
+constexpr absl::Duration recentCopyTime = absl::Milliseconds(500);
 /** The requests of a large fleet for a missed update are spread over this time. */
 constexpr absl::Duration maxCopySpread = absl::Milliseconds(300);
 constexpr double routersForMaxSpread = 200.0;
@@ -157,6 +157,12 @@
     return m_missed && now - m_missed->since >= maxWatchLag;
 }
 
+bool mirror_follower::isFirstListingSlow(absl::Time calledAt, absl::Time now, bool hasPeers) const
+{
+    return hasPeers && !m_hadCopyTurn && !m_mirror.isComplete()
+        && now - calledAt >= maxFirstListingTime;
+}
+
 bool mirror_follower::isReader(absl::Time now) const
 {
     return m_order.rank() == 0 || now - m_readerHeardAt >= m_order.takeoverDelay();
@@ -259,16 +265,39 @@
     ++m_failures;
     m_storeAnsweredAt = now;
     m_isCopyTurn = true;
+    m_hadCopyTurn = true;
 }
 
 std::vector<key_change> mirror_follower::onCopy(const mirror_copy &copy, absl::Time now)
 {
-    const bool isFirst = !m_mirror.isComplete();
-    const bool mustBeRecent = isFirst && now < m_options.startedAt + recentCopyTime;
-    if (copy.revision <= m_mirror.revision() || (mustBeRecent && copy.age > maxFirstCopyAge)) {
+    if (copy.revision <= m_mirror.revision()) {
         onCopyFailed(now);
         return {};
     }
+    const bool isOld = !m_mirror.isComplete() && copy.age > maxFirstCopyAge;
+    if (!isOld || now >= m_options.startedAt + recentCopyTime)
+        return applyCopy(copy, now);
+    if (!m_oldCopy || copy.revision > m_oldCopy->revision) {
+        m_oldCopy = copy;
+        m_oldCopyAt = now;
+    }
+    onCopyFailed(now);
+    return {};
+}
+
+std::vector<key_change> mirror_follower::applyOldCopy(absl::Time now)
+{
+    if (m_mirror.isComplete())
+        m_oldCopy.reset();
+    if (!m_oldCopy || now < m_options.startedAt + recentCopyTime)
+        return {};
+    mirror_copy copy = *std::exchange(m_oldCopy, std::nullopt);
+    copy.age += now - m_oldCopyAt;
+    return applyCopy(copy, now);
+}
+
+std::vector<key_change> mirror_follower::applyCopy(const mirror_copy &copy, absl::Time now)
+{
     m_isCopyTurn = false;
     m_lastCopyAt = now;
     dropListing();
--- a/modules/replication/follower/mirror_follower.h
+++ b/modules/replication/follower/mirror_follower.h
@@ -90,6 +90,8 @@
     static constexpr absl::Duration batchDelay = absl::Milliseconds(120);
     /** How long a pending watch is kept that did not deliver a change that others know. */
     static constexpr absl::Duration maxWatchLag = absl::Milliseconds(300);
+    /** How long a call for a listing is pending before another router's copy is requested. */
+    static constexpr absl::Duration maxFirstListingTime = absl::Milliseconds(300);
     /** How long an update may take to arrive after its change was listed in a digest. */
     static constexpr absl::Duration maxUpdateLag = absl::Milliseconds(1200);
     /** The interval at which copies are requested from other routers. */
@@ -111,6 +113,11 @@
      * router knows.
      */
     bool isWatchBehind(absl::Time now) const;
+    /**
+     * True if a pending call for a listing should be aborted once, so that another router's copy
+     * can be requested: the service may be silent, and this router has no replica yet.
+     */
+    bool isFirstListingSlow(absl::Time calledAt, absl::Time now, bool hasPeers) const;
 
     /** Adds a page of the listing; the last page returns the changes that the listing caused. */
     std::vector<key_change> onListing(const listing_page &page, absl::Time now);
@@ -127,10 +134,15 @@
     void onFailure(absl::Time now);
 
     /**
-     * Applies another router's copy; returns the changes it caused. The first copy must be recent,
-     * unless none was found for some time.
+     * Applies another router's copy; returns the changes it caused. A first copy that is not recent
+     * is kept for applyOldCopy().
      */
     std::vector<key_change> onCopy(const mirror_copy &copy, absl::Time now);
+    /**
+     * Applies the best copy that was not recent, if none that is recent was found for some time
+     * after the start; returns the changes it caused. Must be called periodically.
+     */
+    std::vector<key_change> applyOldCopy(absl::Time now);
     /** Must be called when another router had no copy that is newer than the replica. */
     void onCopyFailed(absl::Time now);
     /**
@@ -182,6 +194,7 @@
     /** Abandons the listing in progress, because the replica is complete without it. */
     void dropListing();
     void onMissed(std::int64_t revision, const std::string &host, absl::Time now);
+    std::vector<key_change> applyCopy(const mirror_copy &copy, absl::Time now);
     /** Records until when the replica is known to be current. */
     void confirm(std::int64_t revision, absl::Time asOf);
 
@@ -206,12 +219,17 @@
     bool m_hadChanges = false;
     /** True after the first listing, until others may know that this router has a replica. */
     bool m_isAnnouncementDue = false;
+    /** True once another router's copy was requested after a failed call. */
+    bool m_hadCopyTurn = false;
     /** True after a failed call, until another router was asked for its copy. */
     bool m_isCopyTurn = false;
     absl::Time m_lastCopyAt = absl::InfinitePast();
     /** A host whose router has a replica, while this one has none; empty if none is known. */
     std::string m_copyHost;
     bool m_isCopyExpected = false;
+    /** The first copy with the highest revision of those that were not recent. */
+    std::optional<mirror_copy> m_oldCopy;
+    absl::Time m_oldCopyAt = absl::InfinitePast();
     bool m_areRoutersKnown = false;
 
     absl::Time m_confirmedAt = absl::InfinitePast();
--- a/tests/replication/replica_fleet.h
+++ b/tests/replication/replica_fleet.h
@@ -28,6 +28,8 @@
 {
     int vms = 6;
     datagram_faults datagrams;
+    /** How long a router of a large fleet sends digests; its start needs them, little else does. */
+    absl::Duration digestTime = absl::Seconds(1);
     std::uint64_t seed = 1;
 };
 
--- a/tests/replication/replica_fleet_test.cpp
+++ b/tests/replication/replica_fleet_test.cpp
@@ -220,6 +220,26 @@
     CHECK(fleet.violations().empty());
 }
 
+TEST_CASE("a router that restarts while the store is down serves from copies soon", "[replication]")
+{
+    const int vms = GENERATE(2, 6, 72);
+    const auto mode = GENERATE(store_mode::Busy, store_mode::Unresponsive);
+    CAPTURE(vms);
+    replica_fleet fleet({.vms = vms, .digestTime = absl::Minutes(1)});
+    writeTargets(fleet, 20);
+    fleet.run(absl::Seconds(5));
+    fleet.store().setMode(mode);
+    fleet.run(absl::Seconds(6));
+    fleet.kill(0);
+    fleet.run(absl::Milliseconds(500));
+    fleet.start(0);
+    CHECK(timeUntil(fleet, absl::Seconds(1), [&] { return fleet.isReady(0); }));
+    fleet.store().setMode(store_mode::Serving);
+    fleet.run(absl::Seconds(4));
+    CHECK(fleet.isConverged());
+    CHECK(fleet.violations().empty());
+}
+
 TEST_CASE("an overloaded store serves listings in the end", "[replication]")
 {
     constexpr int vms = 30;
