Logs: a failed attempt names the shared parts of its prompt and when its answer had begun

The logs of the incident can't tell whether targets end under one prompt part, under repeats or under load: no line names a part. attempt_failed now has sharedParts and answerBeganMs (-1: nothing of an answer had come), so that the lines of all VMs show which parts the exchanges that broke at one moment have in common. No decision changes.

--- a/apps/edge/request_log.cpp
+++ b/apps/edge/request_log.cpp
@@ -1,5 +1,7 @@
 #include "apps/edge/request_log.h"
 
+#include <absl/strings/str_cat.h>
+
 namespace quetzal {
 
 namespace {
@@ -10,6 +12,15 @@
     return static_cast<std::int64_t>(share.fairShareTokens.value_or(-1.0));
 }
 
+/** Returns the identifiers of all parts of a prompt but the last, as callers send them. */
+std::string sharedPartsOf(const std::vector<prompt_part> &prompt)
+{
+    std::string text;
+    for (std::size_t part = 0; part + 1 < prompt.size(); ++part)
+        absl::StrAppend(&text, part == 0 ? "" : ",", absl::Hex(prompt[part].id));
+    return text;
+}
+
 } // namespace
 
 request_log::request_log(edge_context &context, const request_arrival &arrival)
@@ -21,6 +32,7 @@
 void request_log::setDescription(const request_description &description)
 {
     m_requestId = description.id;
+    m_sharedParts = sharedPartsOf(description.prompt);
     m_tokens = costInTokens(description);
 }
 
@@ -79,6 +91,8 @@
         .text("target", failed.target)
         .text("failure", failure)
         .text("reason", failed.reason)
+        .text("sharedParts", m_sharedParts)
+        .number("answerBeganMs", m_answerBeganMs)
         .number("ageMs", ageMs(now));
 }
 
--- a/apps/edge/request_log.h
+++ b/apps/edge/request_log.h
@@ -47,6 +47,8 @@
 
     edge_context &m_context;
     std::string m_requestId;
+    /** The identifiers of the shared parts of the prompt, separated by commas. */
+    std::string m_sharedParts;
     std::int64_t m_tokens = 0;
     request_arrival m_arrival;
     /** The age of the request at the first byte of an answer; -1 if there was none. */
