Reproduce: requests with a prompt part under which targets end go on to other targets (known red)

Callers see 502 and broken streams, and one target after the other ends under requests that share one prompt part.

--- a/bench/emulator/caller/caller_population.cpp
+++ b/bench/emulator/caller/caller_population.cpp
@@ -113,6 +113,13 @@
     }
     prompt.push_back({.id = stableHash(std::to_string(m_lastId) + "own"),
                       .tokens = static_cast<std::int64_t>(m_random.size(kind.ownTokens))});
+    const absl::Duration since = m_events.now() - m_startedAt;
+    for (const added_part &added : m_plan.addedParts) {
+        const bool isActive = added.classIndex == classIndex && since >= added.at
+            && since < added.at + added.duration;
+        if (isActive && m_random.isTrue(added.fraction))
+            prompt.insert(prompt.begin() + static_cast<std::ptrdiff_t>(added.position), added.part);
+    }
     return prompt;
 }
 
--- a/bench/emulator/caller/load_plan.h
+++ b/bench/emulator/caller/load_plan.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "forwarding/route/route_table.h"
+#include "placement/cache/prompt_cache_view.h"
 
 #include <absl/time/time.h>
 
@@ -77,6 +78,20 @@
     int workspace = -1;
 };
 
+/** A prompt part that some requests of a class have in addition, for a limited time. */
+struct added_part
+{
+    prompt_part part;
+    std::size_t classIndex = 0;
+    /** Index of the part in the prompt, at most the number of shared parts of the class. */
+    std::size_t position = 1;
+    /** Fraction of the requests of the class that have the part. */
+    double fraction = 0.0;
+    /** Time since the start of the load. */
+    absl::Duration at;
+    absl::Duration duration = absl::InfiniteDuration();
+};
+
 /** The load that callers send. */
 struct load_plan
 {
@@ -91,6 +106,7 @@
     /** Fraction of the requests whose callers close the connection early. */
     double abandoningFraction = 0.0;
     std::vector<load_change> changes;
+    std::vector<added_part> addedParts;
     /** Number of callers in each data centre. */
     int callersPerDataCentre = 10;
     std::uint64_t seed = 1;
--- a/bench/emulator/fleet/emulated_fleet.cpp
+++ b/bench/emulator/fleet/emulated_fleet.cpp
@@ -26,6 +26,7 @@
     , m_random(m_plan.seed)
 {
     buildTargets();
+    setFatalParts(m_plan.fatalParts);
     buildConfiguration();
     for (int index = 0; index < m_plan.vms; ++index) {
         const auto dataCentre = static_cast<std::size_t>(index) % m_plan.dataCentres.size();
@@ -283,6 +284,20 @@
     });
 }
 
+void emulated_fleet::setFatalParts(const std::vector<std::uint64_t> &parts)
+{
+    m_fatalParts = {parts.begin(), parts.end()};
+    for (std::size_t index = 0; index < m_targets.size(); ++index)
+        m_targets[index]->setFatalParts(m_fatalParts, [this, index] { crashFatally(index); });
+}
+
+void emulated_fleet::crashFatally(std::size_t index)
+{
+    m_fatalCrashes.push_back(m_events.now());
+    crashTarget(index, crash_kind::Reset);
+    m_events.after(m_plan.fatalRestartDelay, [this, index] { restartTarget(index); });
+}
+
 void emulated_fleet::restartTarget(std::size_t index)
 {
     emulated_target &target = *m_targets[index];
@@ -325,6 +340,8 @@
         onReply(link_failure::Unresponsive);
         return;
     }
+    if (target->isFatal(request.prompt))
+        m_fatalSends.push_back(m_events.now());
     const absl::Duration oneWay = delay(machine.dataCentre, target->record().dataCentre);
     const auto link = std::make_shared<exchange_link>(exchange_link {
         .vm = &machine, .incarnation = machine.incarnation, .onReply = std::move(onReply)});
--- a/bench/emulator/fleet/emulated_fleet.h
+++ b/bench/emulator/fleet/emulated_fleet.h
@@ -73,6 +73,12 @@
     void partitionVm(std::size_t vm);
     void reconnectVm(std::size_t vm);
 
+    /** Returns when targets crashed under a fatal part. */
+    const std::vector<absl::Time> &fatalCrashes() const { return m_fatalCrashes; }
+    /** Returns when requests with a fatal part were sent to targets. */
+    const std::vector<absl::Time> &fatalSends() const { return m_fatalSends; }
+    /** Sets the prompt parts under which model engines crash from now on. */
+    void setFatalParts(const std::vector<std::uint64_t> &parts);
     void crashTarget(std::size_t index, crash_kind kind);
     /** Starts a new, cold incarnation of a target that is down. */
     void restartTarget(std::size_t index);
@@ -116,6 +122,8 @@
     void deliver(const std::shared_ptr<exchange_link> &link, const exchange_reply &reply);
     void buildTargets();
     void buildConfiguration();
+    /** Crashes a target under a fatal part, and restarts it later. */
+    void crashFatally(std::size_t index);
     /** Writes the target's record; retries until the key-value service is serving. */
     void writeRecord(emulated_target &target);
     void removeRecord(const std::string &id);
@@ -140,6 +148,9 @@
     std::vector<emulated_vm> m_vms;
     /** Ended processes; events that they scheduled may still refer to them. */
     std::vector<std::unique_ptr<emulated_router>> m_endedRouters;
+    absl::flat_hash_set<std::uint64_t> m_fatalParts;
+    std::vector<absl::Time> m_fatalCrashes;
+    std::vector<absl::Time> m_fatalSends;
     std::mt19937_64 m_random;
     std::uint64_t m_lastExchange = 0;
     std::int64_t m_documentNumber = 0;
--- a/bench/emulator/fleet/fleet_plan.h
+++ b/bench/emulator/fleet/fleet_plan.h
@@ -53,6 +53,10 @@
     double lostDigestFraction = 0.0;
     /** The processor time that the events of each router take; nothing for none. */
     std::optional<processor_parameters> processor;
+    /** Prompt parts under which model engines crash, unless they are the last of a prompt. */
+    std::vector<std::uint64_t> fatalParts;
+    /** Time after which an engine that crashed under such a part starts again. */
+    absl::Duration fatalRestartDelay = absl::Seconds(4);
     /** True if routers exchange digests. */
     bool hasExchange = true;
     std::uint64_t seed = 1;
--- a/bench/emulator/target/emulated_target.cpp
+++ b/bench/emulator/target/emulated_target.cpp
@@ -15,6 +15,8 @@
 constexpr absl::Duration deadConnectionTimeout = absl::Seconds(3);
 /** Time after the write of a record within which every router must have received it. */
 constexpr absl::Duration coldPropagationTimeout = absl::Milliseconds(1500);
+/** Time from the first token of a request with a fatal part to the crash. */
+constexpr absl::Duration fatalDelay = absl::Milliseconds(60);
 
 } // namespace
 
@@ -47,6 +49,24 @@
         < probability * range;
 }
 
+bool emulated_target::isFatal(const std::vector<prompt_part> &prompt) const
+{
+    if (m_fatalParts.empty() || prompt.empty())
+        return false;
+    return std::any_of(prompt.begin(), prompt.end() - 1,
+                       [this](const prompt_part &part) { return m_fatalParts.contains(part.id); });
+}
+
+void emulated_target::beginFatalAnswer(work_item &item)
+{
+    if (std::exchange(item.isCrashing, true))
+        return;
+    m_events.after(fatalDelay, [this, incarnation = m_incarnation] {
+        if (m_isUp && incarnation == m_incarnation)
+            m_onFatal();
+    });
+}
+
 answer_description emulated_target::describe(const target_request &request, int status,
                                              bool isNotExecuted) const
 {
@@ -189,6 +209,10 @@
             for (std::size_t part = 0; part + 1 < item.request.prompt.size(); ++part)
                 addToCache(item.request.prompt[part]);
         }
+        if (item.isCrashing || isFatal(item.request.prompt)) {
+            beginFatalAnswer(item);
+            continue;
+        }
         ++item.generatedTokens;
         ++item.heldTokens;
         const bool isLast = item.generatedTokens >= item.request.outputTokens;
--- a/bench/emulator/target/emulated_target.h
+++ b/bench/emulator/target/emulated_target.h
@@ -13,11 +13,14 @@
 
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <list>
 #include <optional>
 #include <random>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace quetzal::bench {
 
@@ -73,6 +76,15 @@
     void cancel(std::uint64_t exchange);
 
     void setFaults(const target_faults &faults) { m_faults = faults; }
+    /**
+     * Sets the prompt parts under which the target crashes, unless they are the last of a prompt,
+     * and what is called in place of an answer to such a request.
+     */
+    void setFatalParts(absl::flat_hash_set<std::uint64_t> parts, std::function<void()> onFatal)
+    {
+        m_fatalParts = std::move(parts);
+        m_onFatal = std::move(onFatal);
+    }
     const target_faults &faults() const { return m_faults; }
     /** Marks the target as draining in its record. */
     void setDraining() { m_options.record.isDraining = true; }
@@ -81,6 +93,8 @@
      * that routers have to detect the loss
      */
     void crash(bool isUnresponsive);
+    /** True if the target crashes when it begins to answer a request with this prompt. */
+    bool isFatal(const std::vector<prompt_part> &prompt) const;
     /** Starts a new incarnation, which is cold. */
     void restart();
     /** Makes the running target cold. */
@@ -98,6 +112,7 @@
         int sentEvents = 0;
         bool hasSentHead = false;
         bool willBreak = false;
+        bool isCrashing = false;
     };
     using work_map = absl::btree_map<std::uint64_t, work_item>;
 
@@ -112,6 +127,8 @@
     void reject(const target_request &request, int status, const reply_sink &sink) const;
     /** Returns true with this probability. */
     bool drawTrue(double probability);
+    /** Crashes soon, in place of beginning to answer the request. */
+    void beginFatalAnswer(work_item &item);
     void startColdPeriod();
     void admitQueued();
     void begin(work_item &item);
@@ -136,6 +153,8 @@
     fleet_observer &m_observer;
     target_options m_options;
     target_faults m_faults;
+    absl::flat_hash_set<std::uint64_t> m_fatalParts;
+    std::function<void()> m_onFatal;
     std::mt19937_64 m_random;
     absl::Time m_coldUntil = absl::InfinitePast();
     /** Time from which routers must comply with the limit of a cold target. */
