Prompt parts under which targets end are held, by what all routers saw

Callers saw 502 and broken streams while one target after the other ended under requests with one prompt part.

Cause: no router remembered under which prompts a target had ended, and none told the others, so that each new request with the part, and each repeat, went on to the next target. Class: evidence of a fault that is spread over the routers and kept by none.

Change: module quarantine. A router tells the others at once which shared parts its lost requests had, and which of these were answered since. A part is held after ends at three separate moments (ends within 0.6 s have one cause) with no answer since that a target wrote on it; of several, the one answered the longest ago; what a held part explains does not count against others. Such requests are rejected with 2011 at once. Ends that the list of targets refutes are dropped. Held parts are repeated to routers that start, tried by one router for all after 30 s, 2 min and so on, and released by an answer. Messages carry a hash, evidence is bounded. A lost request with a suspect part is not repeated.

--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -1,6 +1,7 @@
 #include "apps/edge/edge_process.h"
 
 #include "apps/edge/edge_clock.h"
+#include "apps/edge/quarantine_log.h"
 #include "foundation/hashing/stable_hash.h"
 #include "platform/request_dialect.h"
 
@@ -322,6 +323,7 @@
     const absl::Time now = edgeNow();
     m_feed.maintain(now);
     m_pool.closeExpired(now);
+    logQuarantineEvents(m_log, m_node.takeQuarantineEvents(), now);
     if (++m_tickCount % ticksPerSettingsCheck == 0 && m_readSettings().settings != m_lastRead)
         reload("file");
     m_timer.expires_after(tickInterval);
@@ -405,6 +407,8 @@
                   static_cast<std::int64_t>(m_node.routers().members.size()));
     m_metrics.set("configuration_version", "The version of the configuration in force.",
                   m_node.routes() ? m_node.routes()->version() : 0);
+    m_metrics.set("held_prompt_parts", "Prompt parts whose requests are rejected.",
+                  static_cast<std::int64_t>(m_node.quarantine().held().size()));
     m_metrics.set("held_bytes", "Bytes of requests held in memory.",
                   static_cast<std::int64_t>(m_context.heldBytes));
     m_metrics.set("log_lines_dropped", "Log lines left out since the start.",
--- a/apps/edge/peer_exchange.cpp
+++ b/apps/edge/peer_exchange.cpp
@@ -148,8 +148,13 @@
 
 void peer_exchange::sendDigest()
 {
-    if (!m_endpoints.empty())
-        sendToAll(encodeDigest(nextDigest(edgeNow())));
+    const absl::Time now = edgeNow();
+    const auto quarantine = m_node.makeQuarantineDigest(now);
+    if (m_endpoints.empty())
+        return;
+    sendToAll(encodeDigest(nextDigest(now)));
+    if (quarantine)
+        sendToAll(encodeDigest(*quarantine));
 }
 
 } // namespace quetzal
--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -260,6 +260,8 @@
     m_timer.cancel();
     if (action.overload)
         m_log.overloaded(*m_lifecycle->admitted(), *action.overload, now);
+    if (action.heldPart)
+        m_log.partHeld(*m_lifecycle->admitted(), *action.heldPart);
     const bool isAdmitted = m_lifecycle && m_lifecycle->admitted();
     m_log.ended(isAdmitted ? &*m_lifecycle->admitted() : nullptr, action, now);
 }
--- a/apps/edge/request_log.cpp
+++ b/apps/edge/request_log.cpp
@@ -1,5 +1,7 @@
 #include "apps/edge/request_log.h"
 
+#include "apps/edge/quarantine_log.h"
+
 #include <absl/strings/str_cat.h>
 
 namespace quetzal {
@@ -17,7 +19,7 @@
 {
     std::string text;
     for (std::size_t part = 0; part + 1 < prompt.size(); ++part)
-        absl::StrAppend(&text, part == 0 ? "" : ",", absl::Hex(prompt[part].id));
+        absl::StrAppend(&text, part == 0 ? "" : ",", partText(prompt[part].id));
     return text;
 }
 
@@ -116,6 +118,17 @@
                 static_cast<std::int64_t>(m_context.node.fleet().activePeerCount(now)));
 }
 
+void request_log::partHeld(const admitted_request &request, const held_part_cause &cause)
+{
+    m_context.log.line("request_part_held")
+        .text("request", m_requestId)
+        .text("route", request.matchedRoute->name)
+        .text("workspace", request.workspace)
+        .text("part", partText(cause.part))
+        .number("endedTargets", static_cast<std::int64_t>(cause.ends))
+        .number("heldForMs", absl::ToInt64Milliseconds(cause.heldFor));
+}
+
 void request_log::ended(const admitted_request *request, const record_request_ended &end,
                         absl::Time now)
 {
--- a/apps/edge/request_log.h
+++ b/apps/edge/request_log.h
@@ -39,6 +39,8 @@
     void attemptFailed(const record_attempt_failed &failed, absl::Time now);
     /** Logs the values that led to a rejection for overload. */
     void overloaded(const admitted_request &request, const overload_cause &cause, absl::Time now);
+    /** Logs the held prompt part for which the request was rejected. */
+    void partHeld(const admitted_request &request, const held_part_cause &cause);
     /** Logs and counts the end of the request, which is null unless it was admitted. */
     void ended(const admitted_request *request, const record_request_ended &end, absl::Time now);
 
--- a/bench/emulator/fleet/emulated_fleet.cpp
+++ b/bench/emulator/fleet/emulated_fleet.cpp
@@ -340,20 +340,21 @@
         onReply(link_failure::Unresponsive);
         return;
     }
-    if (target->isFatal(request.prompt))
-        m_fatalSends.push_back(m_events.now());
     const absl::Duration oneWay = delay(machine.dataCentre, target->record().dataCentre);
     const auto link = std::make_shared<exchange_link>(exchange_link {
         .vm = &machine, .incarnation = machine.incarnation, .onReply = std::move(onReply)});
-    m_events.after(oneWay, [this, target, exchange, request, link, oneWay] {
-        const auto back = [this, link, oneWay](const exchange_reply &reply) {
-            m_events.after(oneWay, [this, link, reply] { deliver(link, reply); });
-        };
-        if (target->isUp())
-            target->receive(exchange, request, back);
-        else
-            back(target->isUnresponsive() ? link_failure::Unresponsive : link_failure::Refused);
-    });
+    m_events.after(
+        oneWay, [this, target, exchange, request, link, oneWay, sentAt = m_events.now()] {
+            if (target->isUp() && target->isFatal(request.prompt))
+                m_fatalSends.push_back(sentAt);
+            const auto back = [this, link, oneWay](const exchange_reply &reply) {
+                m_events.after(oneWay, [this, link, reply] { deliver(link, reply); });
+            };
+            if (target->isUp())
+                target->receive(exchange, request, back);
+            else
+                back(target->isUnresponsive() ? link_failure::Unresponsive : link_failure::Refused);
+        });
 }
 
 void emulated_fleet::deliver(const std::shared_ptr<exchange_link> &link,
--- a/bench/emulator/fleet/emulated_fleet.h
+++ b/bench/emulator/fleet/emulated_fleet.h
@@ -75,7 +75,7 @@
 
     /** Returns when targets crashed under a fatal part. */
     const std::vector<absl::Time> &fatalCrashes() const { return m_fatalCrashes; }
-    /** Returns when requests with a fatal part were sent to targets. */
+    /** Returns when requests with a fatal part were sent that reached running targets. */
     const std::vector<absl::Time> &fatalSends() const { return m_fatalSends; }
     /** Sets the prompt parts under which model engines crash from now on. */
     void setFatalParts(const std::vector<std::uint64_t> &parts);
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -183,6 +183,8 @@
         const absl::Time now = m_network.events().now();
         m_node.directory().onListConfirmed(m_mirrors[targetMirror]->follower().confirmedAt());
         m_network.sendDigest(vm(), nextDigest(now));
+        if (auto digest = m_node.makeQuarantineDigest(now))
+            m_network.sendDigest(vm(), *std::move(digest));
     });
     const absl::Duration interval = m_options.digestInterval.value_or(backlogInterval(peerCount()));
     m_network.events().after(interval, [this] { sendDigests(); });
--- a/modules/directory/target/target_directory.cpp
+++ b/modules/directory/target/target_directory.cpp
@@ -150,6 +150,19 @@
         && !m_evacuated.contains(state.record.dataCentre);
 }
 
+bool target_directory::isStillListed(const std::string &id, std::int64_t startedAtMs,
+                                     absl::Time endedAt, absl::Duration removalTime,
+                                     absl::Time now) const
+{
+    const auto found = m_targets.find(id);
+    if (found == m_targets.end() || found->second.record.startedAtMs != startedAtMs
+        || found->second.lapsesAt != absl::InfiniteFuture())
+        return false;
+    // Records do not expire while the list is unavailable.
+    const bool wasAvailable = !m_isListUnavailable && now >= m_listAvailableSince + removalTime;
+    return wasAvailable && m_listConfirmedAt >= endedAt + removalTime;
+}
+
 std::vector<const target_state *> target_directory::usableTargets(const std::string &service,
                                                                   absl::Time now) const
 {
--- a/modules/directory/target/target_directory.h
+++ b/modules/directory/target/target_directory.h
@@ -106,6 +106,13 @@
     std::size_t countListed(const std::string &service) const;
     /** Returns the target of this id; null if there is none. */
     const target_state *find(const std::string &id) const;
+    /**
+     * True if this incarnation of a target is listed although its record would have been removed if
+     * it had ended at a time; false as long as that is not known.
+     * @param removalTime how long after its end the record of a target is removed at the latest
+     */
+    bool isStillListed(const std::string &id, std::int64_t startedAtMs, absl::Time endedAt,
+                       absl::Duration removalTime, absl::Time now) const;
     /** True if the target exists and may receive requests. */
     bool mayReceive(const std::string &id, absl::Time now) const;
     /** True if the data centre receives no requests. */
--- a/modules/exchange/digest/digest_codec.cpp
+++ b/modules/exchange/digest/digest_codec.cpp
@@ -1,5 +1,7 @@
 #include "exchange/digest/digest_codec.h"
 
+#include "exchange/digest/digest_format.h"
+#include "exchange/digest/quarantine_codec.h"
 #include "foundation/json/bounded_document.h"
 
 #include <cstddef>
@@ -10,9 +12,6 @@
 
 namespace {
 
-/** The first member of each digest, which tells its kind and version. */
-constexpr std::int64_t loadFormat = 2;
-constexpr std::int64_t backlogFormat = 5;
 /** Bounds of the numbers, so that sums over all routers do not overflow. */
 constexpr std::int64_t maxBacklogMs = std::int64_t {1} << 40U;
 constexpr std::int64_t maxInFlight = 1000000;
@@ -175,6 +174,10 @@
             return readLoad(*document);
         if (document->at(Format) == backlogFormat)
             return readBacklogs(*document);
+        if (document->at(Format) == quarantineFormat) {
+            auto digest = readQuarantine(*document);
+            return digest ? std::optional<peer_digest>(*std::move(digest)) : std::nullopt;
+        }
         return std::nullopt;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
--- a/modules/exchange/digest/load_digest.h
+++ b/modules/exchange/digest/load_digest.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "exchange/digest/quarantine_digest.h"
 #include "placement/cache/prompt_cache_view.h"
 
 #include <cstdint>
@@ -104,6 +105,6 @@
 };
 
 /** A digest that a router sends to its peers. */
-using peer_digest = std::variant<load_digest, backlog_digest>;
+using peer_digest = std::variant<load_digest, backlog_digest, quarantine_digest>;
 
 } // namespace quetzal
--- a/modules/forwarding/lifecycle/request_action.h
+++ b/modules/forwarding/lifecycle/request_action.h
@@ -113,6 +113,8 @@
     int mayHaveRun = 0;
     /** The backlog and the limit that led to a rejection for overload. */
     std::optional<overload_cause> overload;
+    /** The prompt part for which the request was rejected. */
+    std::optional<held_part_cause> heldPart;
 
     bool operator==(const record_request_ended &) const = default;
 };
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -16,6 +16,8 @@
 constexpr int statusServerError = 500;
 constexpr int statusBadGateway = 502;
 constexpr int statusUnavailable = 503;
+/** A target that crashes under a prompt does so before it has written an answer for this long. */
+constexpr absl::Duration soundAnswerTime = absl::Milliseconds(500);
 /** Short, because another router can answer at once. */
 constexpr absl::Duration retryAfterStopping = absl::Milliseconds(50);
 constexpr absl::Duration defaultRetryAfter = absl::Milliseconds(300);
@@ -92,6 +94,7 @@
     m_isSent = true;
     m_sentAt = now;
     m_answerBegan = false;
+    m_isPromptSound = false;
     m_relay = relay::None;
     m_answerBody.clear();
     absl::Time deadline = m_admitted->deadline;
@@ -156,6 +159,7 @@
     }
     const bool mayPlace = now < m_admitted->deadline
         && mayRetry(*m_admitted->matchedRoute, m_history) && canEndBeforeShutdown(now)
+        && !(failure == attempt_failure::AnswerLost && m_node.mayEndTargets(m_description))
         && (!consumesRetryBudget(m_history) || m_node.trySpendRetry(m_admitted->service, now));
     if (mayPlace)
         place(actions, now);
@@ -206,10 +210,17 @@
 void request_lifecycle::recordAnswerBegan(request_actions &actions, absl::Time now)
 {
     m_answerBegan = true;
+    m_answerBeganAt = now;
     m_node.onAnswerBegan(m_number, m_target, now);
     actions.emplace_back(record_answer_began {});
 }
 
+void request_lifecycle::recordPromptSound(absl::Time now)
+{
+    if (!std::exchange(m_isPromptSound, true))
+        m_node.onPromptSound(m_number, now);
+}
+
 request_actions request_lifecycle::onAnswerBody(std::string_view text, absl::Time now)
 {
     request_actions actions;
@@ -225,6 +236,8 @@
     }
     if (!m_answerBegan)
         recordAnswerBegan(actions, now);
+    if (now - m_answerBeganAt >= soundAnswerTime)
+        recordPromptSound(now);
     std::string completeText
         = m_admitted->matchedRoute->isResumable ? m_events.add(text) : std::string(text);
     if (m_events.partialBytes() > maxBufferedBodyBytes)
@@ -271,6 +284,8 @@
         onServerError(actions, now);
         return actions;
     }
+    if (m_answer.isSuccess())
+        recordPromptSound(now);
     release(exchange_end::Answered, actions, now);
     if (m_answer.isSuccess())
         m_node.onAnswerComplete(*m_admitted, m_description, now - m_sentAt);
@@ -359,7 +374,8 @@
     finish({.outcome = isNotExecuted ? "rejected" : "failed",
             .status = reason.status,
             .code = reason.code,
-            .overload = reason.overload},
+            .overload = reason.overload,
+            .heldPart = reason.heldPart},
            actions);
     actions.emplace_back(answer_locally {.reason = reason, .isNotExecuted = isNotExecuted});
 }
--- a/modules/forwarding/lifecycle/request_lifecycle.h
+++ b/modules/forwarding/lifecycle/request_lifecycle.h
@@ -108,6 +108,8 @@
     request_actions abandonAnswer(absl::Time now);
     void beginStream(request_actions &actions);
     void recordAnswerBegan(request_actions &actions, absl::Time now);
+    /** Records that the target does not crash under the prompt, once for each attempt. */
+    void recordPromptSound(absl::Time now);
     /** Rejects the request because the router shuts down and another one can serve it. */
     void rejectForShutdown(request_actions &actions, absl::Time now);
     /** Ends the request without an answer from a target. */
@@ -138,6 +140,9 @@
     /** The longest time that a target worked on the request without completing an answer. */
     absl::Duration m_longestAttempt;
     bool m_answerBegan = false;
+    absl::Time m_answerBeganAt = absl::InfiniteFuture();
+    /** True once the answer showed that its target does not crash under the prompt. */
+    bool m_isPromptSound = false;
     /** True once the head of an answer was relayed, after which only body parts may follow. */
     bool m_isHeadRelayed = false;
     bool m_isFinished = false;
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -25,6 +25,13 @@
 /** Requests on connections that are open already come on top of those on new ones. */
 constexpr double requestsPerConnectionTaken = 2.0;
 
+/** Returns a number from 0 to 1 that differs between routers. */
+double phaseOf(const std::string &router)
+{
+    constexpr std::uint64_t steps = 1000;
+    return static_cast<double>(stableHash(router) % steps) / static_cast<double>(steps);
+}
+
 } // namespace
 
 forwarding_node::forwarding_node(forwarding_options options)
@@ -33,6 +40,7 @@
     , m_requestLimiter(turnLimitsOf(m_options.processorShare * requestsPerConnectionTaken))
     , m_retryBudget(m_options.fleet.retries)
     , m_accounts(m_options.capacity)
+    , m_quarantine({.newsPhase = phaseOf(m_options.routers.self)})
 {
 }
 
@@ -186,6 +194,7 @@
     const auto view = m_views.find(target);
     if (open == m_openRequests.end() || view == m_views.end())
         return;
+    open->second.answerBeganAt = std::min(open->second.answerBeganAt, now);
     view->second.load.onAnswerBegan(number);
     m_directory.markAlive(target, open->second.sentAt);
     const auto speed = m_speeds.find(open->second.service);
@@ -214,7 +223,9 @@
 void forwarding_node::onEnded(std::uint64_t number, const std::string &target, exchange_end end,
                               absl::Time now)
 {
-    m_openRequests.erase(number);
+    const auto open = m_openRequests.extract(number);
+    if (end == exchange_end::Lost && !open.empty())
+        recordLoss(open.mapped(), target, now);
     const auto view = m_views.find(target);
     if (view == m_views.end())
         return;
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -16,6 +16,7 @@
 #include "forwarding/shutdown/shutdown_schedule.h"
 #include "placement/cache/prompt_cache_view.h"
 #include "placement/load/target_load.h"
+#include "quarantine/decision/part_quarantine.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/container/flat_hash_set.h>
@@ -102,6 +103,16 @@
     /** Takes one retry from the budget of the service; false if the budget is exhausted. */
     bool trySpendRetry(const std::string &service, absl::Time now);
 
+    /**
+     * Must be called when the target of a request has written an answer for long enough to show
+     * that it does not crash under the prompt.
+     */
+    void onPromptSound(std::uint64_t number, absl::Time now);
+    /** True if the request must not be repeated, because its prompt may have ended targets. */
+    bool mayEndTargets(const request_description &description) const
+    {
+        return m_quarantine.isSuspect(description.prompt);
+    }
     /** Updates the load and the speed estimates when the first byte of an answer arrives. */
     void onAnswerBegan(std::uint64_t number, const std::string &target, absl::Time now);
     /** Removes the request from the load of its target; records a failure of the target, if any. */
@@ -125,8 +136,17 @@
     load_digest makeDigest(std::vector<std::int64_t> lastChangeRevisions, absl::Time now);
     /** Returns the digest of backlogs to send to the other routers between two load digests. */
     backlog_digest makeBacklogDigest(absl::Time now);
+    /**
+     * Updates the held prompt parts and returns what the other routers must be told of them now.
+     * Must be called at each interval at which a digest may be sent.
+     */
+    std::optional<quarantine_digest> makeQuarantineDigest(absl::Time now);
+    /** Returns the changes of the held prompt parts since the last call, for logs. */
+    std::vector<quarantine_event> takeQuarantineEvents() { return m_quarantine.takeEvents(); }
     /** Applies a digest that was received from another router. */
     void onDigest(const peer_digest &digest, absl::Time now);
+    /** Returns the prompt parts that are held, and the evidence. */
+    const part_quarantine &quarantine() const { return m_quarantine; }
     /** Returns the load and usage reported by the other routers. */
     const fleet_view &fleet() const { return m_fleet; }
 
@@ -141,6 +161,9 @@
         absl::Time sentAt;
         /** The incarnation of the target. */
         std::int64_t targetStartedAtMs = 0;
+        std::vector<part_id> sharedParts;
+        /** When the first byte of the answer arrived; the infinite future before. */
+        absl::Time answerBeganAt = absl::InfiniteFuture();
     };
     /** The load and the prompt cache of one target, as estimated by this router. */
     struct target_view
@@ -177,6 +200,14 @@
      */
     share_state shareOf(const admitted_request &request, const service_description &service,
                         absl::Time now);
+    /** Returns the rejection of a request with a held prompt part; nothing if it may be sent. */
+    std::optional<rejection> rejectHeldPart(const request_description &description, absl::Time now);
+    /** Returns this router's turn to try a held prompt part. */
+    trial_turn turnToTry(part_id part) const;
+    /** Records that a target ended while it had the request. */
+    void recordLoss(const open_request &request, const std::string &target, absl::Time now);
+    /** Tells the quarantine which of the targets that seemed to have ended still run. */
+    void checkEndedTargets(absl::Time now);
     /** Returns the rejection of a request beyond its workspace's share. */
     static rejection rejectBeyondShare(const share_state &share);
     /** Returns the backlog of a target above which a request within its share is rejected. */
@@ -243,6 +274,7 @@
     std::vector<placed_prompt> m_queuedPrompts;
     absl::flat_hash_map<name_hash, std::string> m_targetOfHash;
     std::uint64_t m_digestSequence = 0;
+    part_quarantine m_quarantine;
 };
 
 } // namespace quetzal
--- a/modules/forwarding/node/forwarding_node_digests.cpp
+++ b/modules/forwarding/node/forwarding_node_digests.cpp
@@ -67,8 +67,10 @@
 {
     if (const auto *load = std::get_if<load_digest>(&digest))
         onLoadDigest(*load, now);
-    else
-        m_fleet.apply(std::get<backlog_digest>(digest), now);
+    else if (const auto *backlogs = std::get_if<backlog_digest>(&digest))
+        m_fleet.apply(*backlogs, now);
+    else if (const auto *told = std::get_if<quarantine_digest>(&digest))
+        m_quarantine.onNews(shifted(told->news, now - told->madeAt), told->vm, now);
 }
 
 void forwarding_node::onLoadDigest(const load_digest &digest, absl::Time now)
--- a/modules/forwarding/node/forwarding_node_placement.cpp
+++ b/modules/forwarding/node/forwarding_node_placement.cpp
@@ -25,6 +25,15 @@
 /** The work of a model request in addition to processing its prompt. */
 constexpr absl::Duration modelRequestOverhead = absl::Milliseconds(8);
 
+/** Returns the identifiers of all parts but the last, which belongs to the request. */
+std::vector<part_id> sharedPartsOf(const std::vector<prompt_part> &prompt)
+{
+    std::vector<part_id> parts;
+    for (std::size_t index = 0; index + 1 < prompt.size(); ++index)
+        parts.push_back(prompt[index].id);
+    return parts;
+}
+
 /**
  * Returns a key from the last shared part of the prompt, by which requests that share it find the
  * same target.
@@ -226,6 +235,8 @@
     const service_description *service = request.table->service(request.service);
     if (service == nullptr)
         return rejectWithoutCandidate(request, {}, now);
+    if (auto held = rejectHeldPart(description, now))
+        return *std::move(held);
     const share_state share = shareOf(request, *service, now);
     // A request that was placed before has been counted in the share.
     const bool isFirst = excluded.empty();
@@ -281,7 +292,8 @@
                               .wasTargetIdle = chosen.backlog <= absl::ZeroDuration(),
                               .missingTokens = details.missingTokens,
                               .sentAt = now,
-                              .targetStartedAtMs = state.record.startedAtMs};
+                              .targetStartedAtMs = state.record.startedAtMs,
+                              .sharedParts = sharedPartsOf(description.prompt)};
     view.load.onSent(number, chosen.backlog, chosen.ownWork, now);
     if (view.cache) {
         m_accounts.onPlaced(costInTokens(description), chosen.ownWork, now);
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -8,6 +8,7 @@
 #include "forwarding/route/route_table.h"
 #include "foundation/errors/result_code.h"
 #include "placement/choice/target_choice.h"
+#include "quarantine/evidence/quarantine_news.h"
 
 #include <absl/time/time.h>
 
@@ -64,6 +65,18 @@
     bool operator==(const overload_cause &) const = default;
 };
 
+/** The prompt part for which a request is rejected. */
+struct held_part_cause
+{
+    part_id part = 0;
+    /** The number of separate moments at which targets ended under the part. */
+    std::size_t ends = 0;
+    /** For how long the part has been held. */
+    absl::Duration heldFor;
+
+    bool operator==(const held_part_cause &) const = default;
+};
+
 /** An answer of the router itself, to a request that it rejects or that failed. */
 struct rejection
 {
@@ -72,6 +85,7 @@
     /** The time after which the caller may retry; nothing if a retry cannot succeed. */
     std::optional<absl::Duration> retryAfter;
     std::optional<overload_cause> overload;
+    std::optional<held_part_cause> heldPart;
 
     bool operator==(const rejection &) const = default;
 };
--- a/modules/foundation/errors/result_code.h
+++ b/modules/foundation/errors/result_code.h
@@ -34,6 +34,7 @@
     CallerGone = 2008,
     TargetRefused = 2009,
     RouterOverloaded = 2010,
+    PromptPartHeld = 2011,
 
     OutcomeUnknown = 3001,
     TargetFailed = 3002,
--- a/tests/quarantine/fatal_part_fleet.cpp
+++ b/tests/quarantine/fatal_part_fleet.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr absl::Duration warmUp = absl::Seconds(5);
+constexpr absl::Duration recordInterval = absl::Milliseconds(100);
 constexpr absl::Duration loadDuration = absl::Hours(1);
 
 load_plan loadOf(const fatal_part_options &options)
@@ -70,10 +71,37 @@
     const load_plan load = loadOf(options);
     m_fleet = std::make_unique<emulated_fleet>(m_events, m_invariants, planOf(options, load));
     m_callers = std::make_unique<caller_population>(m_events, *m_fleet, m_invariants, load);
+    m_events.every(recordInterval, [this] { recordHeld(); });
     run(warmUp);
     m_callers->start(loadDuration);
 }
 
+void fatal_part_fleet::recordHeld()
+{
+    for (std::size_t vm = 0; vm < m_fleet->vmCount(); ++vm) {
+        if (emulated_router *router = m_fleet->router(vm); router != nullptr) {
+            for (const auto &[part, held] : router->node().quarantine().held())
+                m_everHeld.insert(part);
+        }
+    }
+}
+
+bool fatal_part_fleet::isHeldByAll(part_id part)
+{
+    for (std::size_t vm = 0; vm < m_fleet->vmCount(); ++vm) {
+        emulated_router *router = m_fleet->router(vm);
+        if (router != nullptr && !router->node().quarantine().held().contains(part))
+            return false;
+    }
+    return true;
+}
+
+double fatal_part_fleet::servedFraction(absl::Time from, absl::Time to) const
+{
+    const service_sum sum = m_callers->statistics().ofWindow(from, to);
+    return static_cast<double>(sum.onTime + sum.late) / static_cast<double>(sum.requests);
+}
+
 absl::Time fatal_part_fleet::boundAt() const
 {
     const std::vector<absl::Time> &crashes = m_fleet->fatalCrashes();
--- a/tests/quarantine/fatal_part_fleet.h
+++ b/tests/quarantine/fatal_part_fleet.h
@@ -2,6 +2,7 @@
 
 #include "emulator/emulator.h"
 
+#include <absl/container/btree_set.h>
 #include <absl/time/time.h>
 
 #include <cstdint>
@@ -48,14 +49,25 @@
 
     /** Returns the number of requests with a fatal part that were sent to targets after a time. */
     std::size_t fatalSendsAfter(absl::Time time) const;
+    /** Returns all parts that any router held at any time. */
+    const absl::btree_set<part_id> &everHeld() const { return m_everHeld; }
+    /** True if each running router holds the part. */
+    bool isHeldByAll(part_id part);
+    /** Returns the served fraction of the requests that were sent within [from, to). */
+    double servedFraction(absl::Time from, absl::Time to) const;
+    absl::Time loadStartedAt() const { return m_callers->startedAt(); }
     /** Returns the time from which such requests count; infinite before the fifth crash. */
     absl::Time boundAt() const;
 
 private:
+    /** Adds what the routers hold now to everHeld(). */
+    void recordHeld();
+
     event_queue m_events;
     invariant_checker m_invariants;
     std::unique_ptr<emulated_fleet> m_fleet;
     std::unique_ptr<caller_population> m_callers;
+    absl::btree_set<part_id> m_everHeld;
 };
 
 } // namespace quetzal::bench
