A stream that ends inside an event is broken, however its answer was framed

Callers could get a stream as complete whose last event was cut off: an answer without length or chunks ends with its connection, so a target that ends closes it like a complete one; the rest of an event was relayed and the stream ended properly.

Cause: completeness was taken from the framing alone. Change: event_boundary tells whether a stream stopped inside an event; then the exchange counts as failed (lost if the answer ended with its connection, else unusable): a resumable stream goes on at another target, any other is aborted.

Result: the new cases of tests/forwarding pass; without the check (isInsideEvent false) they fail, as they would have before.

--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -29,6 +29,9 @@
     return std::find(std::begin(statuses), std::end(statuses), status) != std::end(statuses);
 }
 
+constexpr exchange_failure answerTooLong {
+    .isSent = true, .isTargetAlive = true, .reason = "answer_too_long"};
+
 exchange_end endOf(const exchange_failure &cause)
 {
     if (!cause.isSent)
@@ -97,6 +100,7 @@
     m_isPromptSound = false;
     m_relay = relay::None;
     m_answerBody.clear();
+    m_eventBoundary = {};
     absl::Time deadline = m_admitted->deadline;
     if (m_node.shutdown())
         deadline = std::min(deadline, m_node.shutdown()->answersDueAt());
@@ -232,16 +236,18 @@
             beginStream(actions);
             actions.emplace_back(relay_body {.text = std::exchange(m_answerBody, {})});
         }
-        return m_answerBody.size() > maxBufferedBodyBytes ? abandonAnswer(now) : actions;
+        return m_answerBody.size() > maxBufferedBodyBytes ? abandonAnswer(answerTooLong, now)
+                                                          : actions;
     }
     if (!m_answerBegan)
         recordAnswerBegan(actions, now);
     if (now - m_answerBeganAt >= soundAnswerTime)
         recordPromptSound(now);
+    m_eventBoundary.add(text);
     std::string completeText
         = m_admitted->matchedRoute->isResumable ? m_events.add(text) : std::string(text);
     if (m_events.partialBytes() > maxBufferedBodyBytes)
-        return abandonAnswer(now);
+        return abandonAnswer(answerTooLong, now);
     if (completeText.empty())
         return actions;
     if (m_relay == relay::StreamPending)
@@ -250,11 +256,16 @@
     return actions;
 }
 
-request_actions request_lifecycle::abandonAnswer(absl::Time now)
+bool request_lifecycle::isInsideEvent() const
+{
+    const bool isStream = m_admitted->matchedRoute->kind == request_kind::Stream;
+    return isStream && m_answer.isSuccess() && m_eventBoundary.isInsideEvent();
+}
+
+request_actions request_lifecycle::abandonAnswer(const exchange_failure &cause, absl::Time now)
 {
     request_actions actions {release_target {.target = m_target, .isCancelled = true}};
-    request_actions next
-        = onSendFailed({.isSent = true, .isTargetAlive = true, .reason = "answer_too_long"}, now);
+    request_actions next = onSendFailed(cause, now);
     std::move(next.begin(), next.end(), std::back_inserter(actions));
     return actions;
 }
@@ -284,6 +295,11 @@
         onServerError(actions, now);
         return actions;
     }
+    if (isInsideEvent())
+        return abandonAnswer({.isSent = true,
+                              .isTargetAlive = !m_answer.endsWithConnection,
+                              .reason = "ended_in_event"},
+                             now);
     if (m_answer.isSuccess())
         recordPromptSound(now);
     release(exchange_end::Answered, actions, now);
@@ -295,8 +311,6 @@
         relayCompleteAnswer(actions, now);
         return actions;
     }
-    if (std::string rest = m_events.takePartialEvent(); !rest.empty())
-        actions.emplace_back(relay_body {.text = std::move(rest)});
     finish({.outcome = "answered", .status = m_answer.status}, actions);
     actions.emplace_back(end_stream {});
     return actions;
--- a/modules/forwarding/lifecycle/request_lifecycle.h
+++ b/modules/forwarding/lifecycle/request_lifecycle.h
@@ -5,6 +5,7 @@
 #include "forwarding/request/answer_description.h"
 #include "forwarding/request/attempt_rules.h"
 #include "forwarding/request/request_description.h"
+#include "http/stream/event_boundary.h"
 #include "http/stream/event_scanner.h"
 
 #include <absl/container/flat_hash_set.h>
@@ -104,8 +105,10 @@
     /** Handles a complete answer with a server error: retries, or relays it. */
     void onServerError(request_actions &actions, absl::Time now);
     void relayCompleteAnswer(request_actions &actions, absl::Time now);
-    /** Ends the exchange with a target whose answer cannot be buffered any longer. */
-    request_actions abandonAnswer(absl::Time now);
+    /** Ends the exchange with a target whose answer cannot be used. */
+    request_actions abandonAnswer(const exchange_failure &cause, absl::Time now);
+    /** True if the answer is a stream whose last event is not complete. */
+    bool isInsideEvent() const;
     void beginStream(request_actions &actions);
     void recordAnswerBegan(request_actions &actions, absl::Time now);
     /** Records that the target does not crash under the prompt, once for each attempt. */
@@ -135,6 +138,8 @@
     relay m_relay = relay::None;
     /** Splits resumable streams into complete events, so that another target can continue them. */
     event_scanner m_events;
+    /** Finds the end of streams that are relayed as they come. */
+    event_boundary m_eventBoundary;
     bool m_isSent = false;
     absl::Time m_sentAt = absl::InfinitePast();
     /** The longest time that a target worked on the request without completing an answer. */
--- a/modules/forwarding/request/answer_description.h
+++ b/modules/forwarding/request/answer_description.h
@@ -26,6 +26,8 @@
      * target's original body.
      */
     bool isEncoded = false;
+    /** True if the body has neither a length nor chunks, so that it ends with its connection. */
+    bool endsWithConnection = false;
     /** True if the target says that it leaves. */
     bool isTargetLeaving = false;
     /** For how long the target wants no further requests, if it refused this one for that. */
--- a/modules/http/http.h
+++ b/modules/http/http.h
@@ -12,4 +12,5 @@
 #include "http/message/message_head.h"
 #include "http/message/request_reader.h"
 #include "http/message/response_reader.h"
+#include "http/stream/event_boundary.h"
 #include "http/stream/event_scanner.h"
--- a/tests/forwarding/request_lifecycle_test.cpp
+++ b/tests/forwarding/request_lifecycle_test.cpp
@@ -324,6 +324,56 @@
     }
 }
 
+TEST_CASE("a stream that ends inside an event is broken, however its answer was framed", "[life]")
+{
+    router testRouter;
+    const bool endsWithConnection = GENERATE(true, false);
+    CAPTURE(endsWithConnection);
+    answer_description head = goodHead;
+    head.endsWithConnection = endsWithConnection;
+
+    SECTION("one that is not resumable is aborted")
+    {
+        const std::string text = GENERATE("id: 1\n\nid: 2\nda", "id: 1\n", "id: 1\r\n\r\nx");
+        request_lifecycle request = testRouter.request("stream");
+        request.start(start);
+        request.onAnswerHead(head, start);
+        for (const char byte : text)
+            request.onAnswerBody(std::string(1, byte), start);
+        const request_actions last = request.onAnswerComplete(start);
+        CHECK(find<abort_answer>(last) != nullptr);
+        CHECK(find<end_stream>(last) == nullptr);
+        REQUIRE(find<release_target>(last) != nullptr);
+        CHECK(find<release_target>(last)->isCancelled);
+        REQUIRE(find<record_attempt_failed>(last) != nullptr);
+        CHECK(find<record_attempt_failed>(last)->reason == "ended_in_event");
+    }
+    SECTION("one that is resumable continues at another target")
+    {
+        request_lifecycle request = testRouter.request("resume");
+        request.start(start);
+        request.onAnswerHead(head, start);
+        request.onAnswerBody("id: 1\n\nid: 2\nda", start);
+        const request_actions next = request.onAnswerComplete(start);
+        CHECK(passedText(next).empty());
+        REQUIRE(find<send_request>(next) != nullptr);
+        CHECK(find<send_request>(next)->lastEventId == "1");
+    }
+    SECTION("one that ends after an event is complete")
+    {
+        const std::string route = GENERATE("stream", "resume");
+        const std::string text = GENERATE("id: 1\n\nid: 2\ndata: x\n\n", "id: 1\r\n\r\n", "");
+        request_lifecycle request = testRouter.request(route);
+        request.start(start);
+        request.onAnswerHead(head, start);
+        if (!text.empty())
+            request.onAnswerBody(text, start);
+        const request_actions last = request.onAnswerComplete(start);
+        CHECK(find<end_stream>(last) != nullptr);
+        CHECK(find<abort_answer>(last) == nullptr);
+    }
+}
+
 TEST_CASE("a request to a router that is shutting down is rejected with a retry time", "[life]")
 {
     router testRouter;
