The head of a chunk, or a trailer, that never ends is a fault

A target (or a caller) that sent a chunk's head or a trailer without end made the router keep all of its bytes until the deadline: 1.6 and 2.2 MB after as many bytes in the reader's test, without limit on a connection, so that one target could end the process and with it the requests of all others.

Cause: Boost.Beast limits the head of a message, not chunk extensions and trailers, and parses them only whole; what it can't parse yet stays in the input of the connection. Change: more than 16 KB of them is a fault, for answers and requests.

--- a/modules/http/message/collecting_parser.h
+++ b/modules/http/message/collecting_parser.h
@@ -10,6 +10,12 @@
 
 namespace quetzal {
 
+/**
+ * The greatest length of the head of a chunk, and of a trailer. They can only be parsed whole, and
+ * Boost.Beast does not limit them.
+ */
+inline constexpr std::size_t maxChunkFramingBytes = 16384;
+
 /**
  * Boost.Beast parser that collects header fields and body; derived classes override the callback
  * for the request or status line.
--- a/modules/http/message/request_reader.cpp
+++ b/modules/http/message/request_reader.cpp
@@ -96,8 +96,11 @@
         const std::size_t consumed
             = m_parser->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         used += consumed;
-        if (error == http::error::need_more)
+        if (error == http::error::need_more) {
+            if (isHeadComplete() && bytes.size() - used > maxChunkFramingBytes)
+                m_fault = request_fault::Malformed;
             break;
+        }
         if (error == http::error::body_limit)
             m_fault = request_fault::BodyTooLarge;
         else if (error == http::error::header_limit)
--- a/modules/http/message/response_reader.cpp
+++ b/modules/http/message/response_reader.cpp
@@ -54,8 +54,10 @@
         const std::size_t consumed
             = m_parser->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         used += consumed;
-        if (error == http::error::need_more)
+        if (error == http::error::need_more) {
+            m_isFaulty = isHeadComplete() && bytes.size() - used > maxChunkFramingBytes;
             break;
+        }
         m_isFaulty = static_cast<bool>(error);
         if (isComplete() && m_parser->head.status < firstFinalStatus)
             skipInterimResponse();
--- a/standins/platform/platform_engine.cpp
+++ b/standins/platform/platform_engine.cpp
@@ -289,6 +289,11 @@
         begin = "HTTP/1.1 200 OK\r\n" + stamp + idField + "Content-Type: text/event-stream\r\n"
             + chunked;
         repeated = toChunk(filler);
+    } else if (behaviour == "endless-chunk-line") {
+        begin = "HTTP/1.1 200 OK\r\n" + stamp + idField + chunked + "5;";
+    } else if (behaviour == "endless-trailer") {
+        begin = "HTTP/1.1 200 OK\r\n" + stamp + idField + chunked + "2\r\nok\r\n0\r\n";
+        repeated = "X-Filler: " + std::string(64, 'x') + "\r\n";
     }
     write(socket, begin);
     error_code error;
--- a/standins/platform/platform_engine.h
+++ b/standins/platform/platform_engine.h
@@ -56,6 +56,8 @@
  *   request before the answer, with that request's identifier or without any.
  * - flood: streams 64 MB.
  * - endless-line, endless-fields, endless-interim: sends a head that never ends.
+ * - endless-chunk-line, endless-trailer: sends a body whose first chunk has a head that never ends,
+ *   or whose trailer never ends.
  * - endless-error, endless-other, endless-event: sends the body of an error, of another request's
  *   answer, or of one event that never ends, until the caller closes the connection.
  *
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -158,8 +158,9 @@
 
     SECTION("a target that sends without end is cut off, and its bytes reach no caller")
     {
-        for (const std::string engineAction : {"endless-line", "endless-fields", "endless-interim",
-                                               "endless-error", "endless-other", "endless-event"}) {
+        for (const std::string engineAction :
+             {"endless-line", "endless-fields", "endless-interim", "endless-error", "endless-other",
+              "endless-event", "endless-chunk-line", "endless-trailer"}) {
             INFO(engineAction);
             const std::string route = engineAction == "endless-event" ? "/resume/x" : "/safe/x";
             const std::string answer = router.answerTo(post(route, engineAction, engineAction));
--- a/tests/http/request_reader_test.cpp
+++ b/tests/http/request_reader_test.cpp
@@ -100,6 +100,20 @@
     }
 }
 
+TEST_CASE("the head of a chunk, or a trailer, that never ends is a fault of the request", "[http]")
+{
+    request_reader reader({.headBytes = 8192, .bodyBytes = 100000});
+    const auto [chunk, repeated] = GENERATE(table<std::string, std::string>(
+        {{"5;", "xxxxxxxxxxxxxxxx"}, {"2\r\nok\r\n0\r\n", "X-Filler: 0123456789\r\n"}}));
+    std::string bytes = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk;
+    for (int count = 0; count < 100000 && reader.fault() == request_fault::None; ++count) {
+        bytes.erase(0, reader.consume(bytes));
+        bytes += repeated;
+    }
+    CHECK(reader.fault() == request_fault::Malformed);
+    CHECK(bytes.size() < 20000);
+}
+
 TEST_CASE("the fault tells which size limit a request exceeds", "[http]")
 {
     SECTION("head")
--- a/tests/http/response_reader_test.cpp
+++ b/tests/http/response_reader_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <string>
 #include <string_view>
 
@@ -87,6 +88,22 @@
         CHECK(reader.isFaulty());
     }
 
+    SECTION("the head of a chunk, or a trailer, that never ends is a fault")
+    {
+        const std::string begin = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const auto [chunk, repeated] = GENERATE(table<std::string, std::string>(
+            {{"5;", "xxxxxxxxxxxxxxxx"}, {"2\r\nok\r\n0\r\n", "X-Filler: 0123456789\r\n"}}));
+        std::string bytes = begin + chunk;
+        std::size_t kept = 0;
+        for (int count = 0; count < 100000 && !reader.isFaulty(); ++count) {
+            bytes.erase(0, reader.consume(bytes));
+            bytes += repeated;
+            kept = std::max(kept, bytes.size());
+        }
+        CHECK(reader.isFaulty());
+        CHECK(kept < 20000);
+    }
+
     SECTION("interim responses without end are a fault")
     {
         for (int number = 0; number < 100 && !reader.isFaulty(); ++number)
