An answer of the store or of another router that never ends is given up

The client for the store and for copies kept a body without end until the call's timeout: in the new test 8.6 GB were sent in 20 s, all of it kept; a process with 260 MB ends long before, and with it the requests of its callers.

Change: a body above 16 MB (a page has at most 1 MB) ends the call like a malformed answer; the caller of the client logs it and tries again as before.

--- a/apps/edge/http_client.cpp
+++ b/apps/edge/http_client.cpp
@@ -10,6 +10,13 @@
 
 using boost::system::error_code;
 
+namespace {
+
+/** Far above a page of the store, or a copy of a whole prefix. */
+constexpr std::size_t maxBodyBytes = std::size_t {16} * 1024 * 1024;
+
+} // namespace
+
 http_client::http_client(boost::asio::io_context &loop, network_address address)
     : m_socket(loop)
     , m_timer(loop)
@@ -97,7 +104,7 @@
 {
     m_input.append(m_buffer.data(), count);
     m_input.erase(0, m_reader.consume(m_input));
-    if (m_reader.isFaulty()) {
+    if (m_reader.isFaulty() || m_reader.bodyBytes() > maxBodyBytes) {
         close();
         finish(std::nullopt);
         return;
--- a/modules/http/message/response_reader.cpp
+++ b/modules/http/message/response_reader.cpp
@@ -103,6 +103,11 @@
     return m_parser->head;
 }
 
+std::size_t response_reader::bodyBytes() const
+{
+    return m_parser->body.size();
+}
+
 std::string response_reader::takeBody()
 {
     return std::exchange(m_parser->body, {});
--- a/modules/http/message/response_reader.h
+++ b/modules/http/message/response_reader.h
@@ -32,6 +32,8 @@
     bool isFaulty() const { return m_isFaulty; }
     /** Returns the head, which is valid once isHeadComplete() is true. */
     const response_head &head() const;
+    /** Returns the number of body bytes that takeBody() would return. */
+    std::size_t bodyBytes() const;
     /** Returns and removes the body bytes that were parsed since the last call. */
     std::string takeBody();
 
