Answers that are not relayed yet are bounded for all requests together

One answer could hold 1 MB before it was cut off, so 300 answers without end at a time held 315 MB (tests/forwarding, each of error body, plain answer and event), more than the VM has; the process ended with all its requests.

Cause: the bound was for one request only. A plain answer that grows beyond is relayed from then on instead, since it may be a good one.

--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -33,7 +33,7 @@
 constexpr absl::Duration activityLogInterval = absl::Milliseconds(500);
 constexpr int statusUnavailable = 503;
 constexpr int statusOk = 200;
-/** Request bodies may occupy at most the memory limit divided by this. */
+/** Request bodies, and answers, may each occupy at most the memory limit divided by this. */
 constexpr std::size_t heldMemoryDivisor = 4;
 constexpr std::size_t defaultMemoryMegabytes = 256;
 constexpr std::size_t bytesPerMegabyte = std::size_t {1024} * 1024;
@@ -67,15 +67,6 @@
     return stableHash(run);
 }
 
-forwarding_options nodeOptions(const edge_settings &settings)
-{
-    return {.dataCentre = settings.dataCentre,
-            .routers = {.self = settings.vm, .members = {settings.vm}},
-            .fleet = fleetLimits(settings),
-            .processorShare = settings.processorShare,
-            .incarnation = newIncarnation()};
-}
-
 /** Returns the number of connections from callers above which idle ones are closed. */
 std::size_t maxCallerConnections(const edge_settings &settings)
 {
@@ -98,6 +89,16 @@
     return megabytes * bytesPerMegabyte / heldMemoryDivisor;
 }
 
+forwarding_options nodeOptions(const edge_settings &settings)
+{
+    return {.dataCentre = settings.dataCentre,
+            .routers = {.self = settings.vm, .members = {settings.vm}},
+            .fleet = fleetLimits(settings),
+            .processorShare = settings.processorShare,
+            .maxAnswerBytes = maxHeldBytes(settings),
+            .incarnation = newIncarnation()};
+}
+
 } // namespace
 
 edge_process::edge_process(edge_settings settings, settings_reader readSettings)
@@ -409,6 +410,8 @@
                   m_node.routes() ? m_node.routes()->version() : 0);
     m_metrics.set("held_prompt_parts", "Prompt parts whose requests are rejected.",
                   static_cast<std::int64_t>(m_node.quarantine().held().size()));
+    m_metrics.set("held_answer_bytes", "Bytes of answers held in memory.",
+                  static_cast<std::int64_t>(m_node.answerMemory().usedBytes()));
     m_metrics.set("held_bytes", "Bytes of requests held in memory.",
                   static_cast<std::int64_t>(m_context.heldBytes));
     m_metrics.set("log_lines_dropped", "Log lines left out since the start.",
--- a/modules/forwarding/lifecycle/request_lifecycle.cpp
+++ b/modules/forwarding/lifecycle/request_lifecycle.cpp
@@ -47,6 +47,7 @@
     , m_number(number)
     , m_description(std::move(description))
     , m_arrivedAt(arrivedAt)
+    , m_heldBytes(node.answerMemory())
 {
 }
 
@@ -100,6 +101,7 @@
     m_isPromptSound = false;
     m_relay = relay::None;
     m_answerBody.clear();
+    m_heldBytes.set(0);
     m_eventBoundary = {};
     absl::Time deadline = m_admitted->deadline;
     if (m_node.shutdown())
@@ -232,12 +234,14 @@
         return actions;
     if (m_relay == relay::Buffered) {
         m_answerBody += text;
-        if (m_answer.isSuccess() && m_answerBody.size() > maxBufferedBodyBytes) {
-            beginStream(actions);
-            actions.emplace_back(relay_body {.text = std::exchange(m_answerBody, {})});
-        }
-        return m_answerBody.size() > maxBufferedBodyBytes ? abandonAnswer(answerTooLong, now)
-                                                          : actions;
+        if (!holdsTooMuch())
+            return actions;
+        if (!m_answer.isSuccess())
+            return abandonAnswer(answerTooLong, now);
+        beginStream(actions);
+        actions.emplace_back(relay_body {.text = std::exchange(m_answerBody, {})});
+        m_heldBytes.set(0);
+        return actions;
     }
     if (!m_answerBegan)
         recordAnswerBegan(actions, now);
@@ -246,7 +250,7 @@
     m_eventBoundary.add(text);
     std::string completeText
         = m_admitted->matchedRoute->isResumable ? m_events.add(text) : std::string(text);
-    if (m_events.partialBytes() > maxBufferedBodyBytes)
+    if (holdsTooMuch())
         return abandonAnswer(answerTooLong, now);
     if (completeText.empty())
         return actions;
@@ -256,6 +260,13 @@
     return actions;
 }
 
+bool request_lifecycle::holdsTooMuch()
+{
+    const std::size_t bytes = m_answerBody.size() + m_events.partialBytes();
+    m_heldBytes.set(bytes);
+    return bytes > maxBufferedBodyBytes || m_heldBytes.isExceeded();
+}
+
 bool request_lifecycle::isInsideEvent() const
 {
     const bool isStream = m_admitted->matchedRoute->kind == request_kind::Stream;
@@ -451,6 +462,7 @@
 void request_lifecycle::finish(record_request_ended end, request_actions &actions)
 {
     m_isFinished = true;
+    m_heldBytes.set(0);
     end.target = m_target;
     end.mayHaveRun = m_history.mayHaveRun;
     actions.emplace_back(std::move(end));
--- a/modules/forwarding/lifecycle/request_lifecycle.h
+++ b/modules/forwarding/lifecycle/request_lifecycle.h
@@ -107,6 +107,8 @@
     void relayCompleteAnswer(request_actions &actions, absl::Time now);
     /** Ends the exchange with a target whose answer cannot be used. */
     request_actions abandonAnswer(const exchange_failure &cause, absl::Time now);
+    /** Counts the bytes that are held; true if they are too many. */
+    bool holdsTooMuch();
     /** True if the answer is a stream whose last event is not complete. */
     bool isInsideEvent() const;
     void beginStream(request_actions &actions);
@@ -138,6 +140,8 @@
     relay m_relay = relay::None;
     /** Splits resumable streams into complete events, so that another target can continue them. */
     event_scanner m_events;
+    /** The bytes of the answer that are not relayed yet. */
+    byte_reservation m_heldBytes;
     /** Finds the end of streams that are relayed as they come. */
     event_boundary m_eventBoundary;
     bool m_isSent = false;
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -41,6 +41,7 @@
     , m_retryBudget(m_options.fleet.retries)
     , m_accounts(m_options.capacity)
     , m_quarantine({.newsPhase = phaseOf(m_options.routers.self)})
+    , m_answerMemory(m_options.maxAnswerBytes)
 {
 }
 
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -3,6 +3,7 @@
 #include "admission/processor/turn_limiter.h"
 #include "budgets/cold/cold_start_limiter.h"
 #include "budgets/connection/connection_share.h"
+#include "budgets/memory/byte_budget.h"
 #include "budgets/retry/shared_retry_budget.h"
 #include "directory/target/target_directory.h"
 #include "exchange/view/fleet_view.h"
@@ -47,6 +48,9 @@
     void setFleetLimits(const fleet_limits &limits);
     const router_group &routers() const { return m_options.routers; }
 
+    /** Returns the memory for answers that are not relayed yet. */
+    byte_budget &answerMemory() { return m_answerMemory; }
+
     /** Starts a graceful shutdown. */
     void beginShutdown(const shutdown_schedule &schedule) { m_shutdown = schedule; }
     /** Shortens the grace period of a shutdown in progress, if there is one. */
@@ -275,6 +279,7 @@
     absl::flat_hash_map<name_hash, std::string> m_targetOfHash;
     std::uint64_t m_digestSequence = 0;
     part_quarantine m_quarantine;
+    byte_budget m_answerMemory;
 };
 
 } // namespace quetzal
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -12,6 +12,7 @@
 
 #include <absl/time/time.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -43,6 +44,8 @@
     capacity_limits capacity;
     /** The cores that this router has, above 0. */
     double processorShare = 1.0;
+    /** The memory for answers that are not relayed yet, of all requests together. */
+    std::size_t maxAnswerBytes = std::size_t {64} * 1024 * 1024;
     /** Distinguishes this run of the router from earlier ones in its digests. */
     std::uint64_t incarnation = 0;
 };
