Quarantine: the list refutes an end by the heartbeat of targets; outbox, schedule of trials and shared parts stand once

A target that ended was taken for running if its record outlived five seconds, as it does with heartbeats above 1.2 s: then the ends under a fatal part would not have counted. The time now follows from the targets' heartbeat. A report that tells nothing new no longer delays the decision on an end.

--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -47,6 +47,11 @@
 /** Fraction of the allowed rate of requests to a cold target that is used. */
 constexpr double coldLimitSafetyFactor = 0.9;
 
+/** A target's record expires after this many heartbeats without a renewal. */
+constexpr int heartbeatsToExpiry = 3;
+/** Time for the removal of a record to reach all routers. */
+constexpr absl::Duration removalPropagationTime = absl::Milliseconds(1400);
+
 fleet_limits fleetLimits(const edge_settings &settings)
 {
     return {.retries = {.window = settings.retryWindow,
@@ -95,6 +100,8 @@
             .routers = {.self = settings.vm, .members = {settings.vm}},
             .fleet = fleetLimits(settings),
             .processorShare = settings.processorShare,
+            .recordRemovalTime
+            = settings.targetHeartbeat * heartbeatsToExpiry + removalPropagationTime,
             .maxAnswerBytes = maxHeldBytes(settings),
             .incarnation = newIncarnation()};
 }
--- a/apps/edge/request_log.cpp
+++ b/apps/edge/request_log.cpp
@@ -2,7 +2,9 @@
 
 #include "apps/edge/quarantine_log.h"
 
-#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include <span>
 
 namespace quetzal {
 
@@ -14,13 +16,12 @@
     return static_cast<std::int64_t>(share.fairShareTokens.value_or(-1.0));
 }
 
-/** Returns the identifiers of all parts of a prompt but the last, as callers send them. */
-std::string sharedPartsOf(const std::vector<prompt_part> &prompt)
+/** Returns the identifiers of parts as callers send them, separated by commas. */
+std::string textOf(std::span<const prompt_part> parts)
 {
-    std::string text;
-    for (std::size_t part = 0; part + 1 < prompt.size(); ++part)
-        absl::StrAppend(&text, part == 0 ? "" : ",", partText(prompt[part].id));
-    return text;
+    return absl::StrJoin(parts, ",", [](std::string *text, const prompt_part &part) {
+        text->append(partText(part.id));
+    });
 }
 
 } // namespace
@@ -34,7 +35,7 @@
 void request_log::setDescription(const request_description &description)
 {
     m_requestId = description.id;
-    m_sharedParts = sharedPartsOf(description.prompt);
+    m_sharedParts = textOf(sharedPartsOf(description.prompt));
     m_tokens = costInTokens(description);
 }
 
--- a/modules/forwarding/node/forwarding_node_placement.cpp
+++ b/modules/forwarding/node/forwarding_node_placement.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <span>
 #include <utility>
 
 namespace quetzal {
@@ -25,13 +26,12 @@
 /** The work of a model request in addition to processing its prompt. */
 constexpr absl::Duration modelRequestOverhead = absl::Milliseconds(8);
 
-/** Returns the identifiers of all parts but the last, which belongs to the request. */
-std::vector<part_id> sharedPartsOf(const std::vector<prompt_part> &prompt)
+std::vector<part_id> idsOf(std::span<const prompt_part> parts)
 {
-    std::vector<part_id> parts;
-    for (std::size_t index = 0; index + 1 < prompt.size(); ++index)
-        parts.push_back(prompt[index].id);
-    return parts;
+    std::vector<part_id> ids;
+    for (const prompt_part &part : parts)
+        ids.push_back(part.id);
+    return ids;
 }
 
 /**
@@ -293,7 +293,7 @@
                               .missingTokens = details.missingTokens,
                               .sentAt = now,
                               .targetStartedAtMs = state.record.startedAtMs,
-                              .sharedParts = sharedPartsOf(description.prompt)};
+                              .sharedParts = idsOf(sharedPartsOf(description.prompt))};
     view.load.onSent(number, chosen.backlog, chosen.ownWork, now);
     if (view.cache) {
         m_accounts.onPlaced(costInTokens(description), chosen.ownWork, now);
--- a/modules/forwarding/node/forwarding_node_quarantine.cpp
+++ b/modules/forwarding/node/forwarding_node_quarantine.cpp
@@ -18,8 +18,6 @@
 /** Held parts are told again so often that a router that starts hears of them at once. */
 constexpr absl::Duration minHeldRepeatInterval = absl::Milliseconds(500);
 constexpr absl::Duration heldRepeatIntervalPerPeer = absl::Milliseconds(50);
-/** By then a record has expired and its removal is known; its target's heartbeat is far shorter. */
-constexpr absl::Duration recordRemovalTime = absl::Milliseconds(4500);
 
 } // namespace
 
@@ -69,7 +67,7 @@
         return std::nullopt;
     const held_part_cause cause {
         .part = held->part, .ends = held->ends.size(), .heldFor = now - held->since};
-    const absl::Duration untilTrial = part_quarantine::nextTrialAt(*held) - now;
+    const absl::Duration untilTrial = nextTrialAt(*held) - now;
     if (untilTrial <= absl::ZeroDuration()
         && m_quarantine.tryTrial(held->part, turnToTry(held->part), now))
         return std::nullopt;
@@ -81,11 +79,11 @@
 
 void forwarding_node::checkEndedTargets(absl::Time now)
 {
-    for (const target_end &end : m_quarantine.endsToCheck(now)) {
+    for (const target_end &end : m_quarantine.endsToCheck(m_options.recordRemovalTime, now)) {
         const auto id = m_targetOfHash.find(end.target.target);
         if (id != m_targetOfHash.end()
             && m_directory.isStillListed(id->second, end.target.startedAtMs, end.at,
-                                         recordRemovalTime, now))
+                                         m_options.recordRemovalTime, now))
             m_quarantine.onTargetRunning(end.target);
     }
 }
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -44,6 +44,8 @@
     capacity_limits capacity;
     /** The cores that this router has, above 0. */
     double processorShare = 1.0;
+    /** The time within which routers learn that the record of a target that ended has expired. */
+    absl::Duration recordRemovalTime = absl::Seconds(5);
     /** The memory for answers that are not relayed yet, of all requests together. */
     std::size_t maxAnswerBytes = std::size_t {64} * 1024 * 1024;
     /** Distinguishes this run of the router from earlier ones in its digests. */
--- a/modules/placement/cache/prompt_cache_view.cpp
+++ b/modules/placement/cache/prompt_cache_view.cpp
@@ -6,6 +6,11 @@
 
 namespace quetzal {
 
+std::span<const prompt_part> sharedPartsOf(const std::vector<prompt_part> &prompt)
+{
+    return std::span(prompt).first(prompt.empty() ? 0 : prompt.size() - 1);
+}
+
 std::int64_t tokensOf(const std::vector<prompt_part> &prompt)
 {
     return std::accumulate(
--- a/modules/placement/cache/prompt_cache_view.h
+++ b/modules/placement/cache/prompt_cache_view.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <list>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -20,6 +21,9 @@
     bool operator==(const prompt_part &) const = default;
 };
 
+/** Returns all parts of a prompt but the last one, which belongs to its request or session. */
+std::span<const prompt_part> sharedPartsOf(const std::vector<prompt_part> &prompt);
+
 /** Returns the number of tokens of a prompt. */
 std::int64_t tokensOf(const std::vector<prompt_part> &prompt);
 
--- a/modules/quarantine/decision/part_quarantine.cpp
+++ b/modules/quarantine/decision/part_quarantine.cpp
@@ -1,42 +1,23 @@
 #include "quarantine/decision/part_quarantine.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace quetzal {
 
 namespace {
 
-/** Bounds of one message, so that it fits a datagram. */
-constexpr std::size_t maxLossesPerNews = 12;
-constexpr std::size_t maxPartsPerLoss = 40;
-constexpr std::size_t maxSoundPerNews = 48;
+/** The number of held parts in one message, so that it fits a datagram. */
 constexpr std::size_t maxHeldPerNews = 16;
 /** The number of ends that are kept of a held part, and told to others. */
 constexpr std::size_t maxEndsOfHeldPart = 6;
-/** Losses are told again, because a datagram may be lost. */
-constexpr int sendsPerLoss = 2;
-constexpr absl::Duration lossRepeatInterval = absl::Milliseconds(300);
-constexpr std::size_t maxOutgoingLosses = 256;
-constexpr std::size_t maxOutgoingSound = 1024;
 constexpr std::size_t maxEvents = 256;
-/** How often it is told that a part has been sound while targets end under it. */
-constexpr absl::Duration soundRepeatInterval = absl::Seconds(30);
 /** From this number of separate moments on, requests with a part are not repeated. */
 constexpr int momentsOfSuspect = 2;
-/** The record of a target that ended has been removed, and all routers have heard of it. */
-constexpr absl::Duration removalTime = absl::Seconds(5);
-/** Later, a target that is listed may have ended and started under the same identity. */
-constexpr absl::Duration maxCheckTime = absl::Seconds(20);
+/** After this time more, a listed target may have ended and started under the same identity. */
+constexpr absl::Duration checkTime = absl::Seconds(15);
 /** Answers that began this close together do not show which part ends targets. */
 constexpr absl::Duration soundTolerance = absl::Seconds(5);
-constexpr absl::Duration firstTrialAfter = absl::Seconds(30);
-constexpr double trialBackoff = 4.0;
-constexpr int maxTrialBackoffs = 3;
-/** Each router has a turn of this length, and leaves both ends of it free. */
-constexpr absl::Duration trialTurnTime = absl::Seconds(1);
-constexpr double trialTurnMargin = 0.2;
 
 /** A part that is to be held if no other one is the likelier cause. */
 struct candidate
@@ -61,30 +42,8 @@
     return candidates;
 }
 
-std::span<const prompt_part> sharedPartsOf(const std::vector<prompt_part> &prompt)
-{
-    return std::span(prompt).first(prompt.empty() ? 0 : prompt.size() - 1);
-}
-
 } // namespace
 
-std::string_view toText(quarantine_step step)
-{
-    switch (step) {
-    case quarantine_step::Held:
-        return "held";
-    case quarantine_step::ReleasedSound:
-        return "released_sound";
-    case quarantine_step::ReleasedTargetsRun:
-        return "released_targets_run";
-    case quarantine_step::Tried:
-        return "tried";
-    case quarantine_step::TableFull:
-        return "table_full";
-    }
-    return "";
-}
-
 part_quarantine::part_quarantine(quarantine_options options)
     : m_limits(options.limits)
     , m_newsPhase(options.newsPhase)
@@ -94,15 +53,18 @@
 void part_quarantine::onLoss(const target_loss &loss, absl::Time now)
 {
     if (addLoss(loss, {}, now))
-        queueLoss(loss, now);
+        m_outbox.addLoss(loss, now);
 }
 
 bool part_quarantine::addLoss(const target_loss &loss, std::string_view from, absl::Time now)
 {
     if (!m_losses.add(loss))
         return false;
-    for (const part_id part : loss.parts)
-        tellSoundMemory(part);
+    for (const part_id part : loss.parts) {
+        const absl::Time soundAt = m_losses.soundAt(part);
+        if (soundAt > absl::InfinitePast() && m_outbox.isSoundUntold(part, soundAt))
+            m_outbox.addSound(part, soundAt);
+    }
     extendHeld(loss.parts);
     if (m_undecided.size() < loss_table::maxEnds)
         m_undecided.try_emplace(loss.end.target,
@@ -113,6 +75,7 @@
 void part_quarantine::update(absl::Duration settleTime, absl::Time now)
 {
     absl::flat_hash_set<part_id> parts;
+    std::string from;
     for (auto next = m_undecided.begin(); next != m_undecided.end();) {
         if (now - next->second.receivedAt < settleTime) {
             ++next;
@@ -120,11 +83,11 @@
         }
         for (const part_id part : m_losses.partsOf(next->first))
             parts.insert(part);
-        m_decidedReporter = next->second.from;
+        from = next->second.from;
         next = m_undecided.erase(next);
     }
     if (!parts.empty())
-        decide(std::vector<part_id>(parts.begin(), parts.end()), now);
+        decide(std::vector<part_id>(parts.begin(), parts.end()), from, now);
 }
 
 void part_quarantine::onSound(std::span<const part_id> parts, absl::Time beganAt)
@@ -132,7 +95,7 @@
     for (const part_id part : parts) {
         const std::vector<target_end> ends = openEndsOf(part, false);
         if (m_held.contains(part) || (!ends.empty() && ends.front().at < beganAt))
-            queueSound(part, beganAt);
+            m_outbox.addSound(part, beganAt);
         markSound(part, beganAt, {});
     }
 }
@@ -146,9 +109,7 @@
 void part_quarantine::onNews(const quarantine_news &news, std::string_view from, absl::Time now)
 {
     for (const sound_part &sound : news.sound) {
-        // Another router has told it: this one need not.
-        m_outgoingSound.erase(sound.part);
-        recordTold(sound.part, sound.at);
+        m_outbox.onToldSound(sound);
         markSound(sound.part, sound.at, from);
     }
     for (const target_loss &loss : news.losses)
@@ -165,7 +126,7 @@
     const bool isOutdated = std::all_of(told.ends.begin(), told.ends.end(),
                                         [&](const target_end &end) { return end.at < soundAt; });
     if (isOutdated)
-        queueSound(told.part, soundAt);
+        m_outbox.addSound(told.part, soundAt);
     const std::vector<target_end> ends = openEndsOf(told.part, false);
     if (!m_held.contains(told.part) && mustHold(ends, soundAt, m_limits))
         hold(told.part, ends, from, now);
@@ -184,30 +145,7 @@
     return endsSince(m_losses.endsOf(part, withExplained), m_losses.soundAt(part), m_limits);
 }
 
-void part_quarantine::queueSound(part_id part, absl::Time at)
-{
-    if (m_outgoingSound.size() < maxOutgoingSound)
-        m_outgoingSound[part] = at;
-}
-
-void part_quarantine::tellSoundMemory(part_id part)
-{
-    const absl::Time soundAt = m_losses.soundAt(part);
-    if (soundAt == absl::InfinitePast())
-        return;
-    const auto told = m_toldSoundAt.find(part);
-    if (told == m_toldSoundAt.end() || soundAt - told->second > soundRepeatInterval)
-        queueSound(part, soundAt);
-}
-
-void part_quarantine::recordTold(part_id part, absl::Time at)
-{
-    if (m_toldSoundAt.size() >= loss_table::maxSoundParts)
-        m_toldSoundAt.clear();
-    m_toldSoundAt[part] = at;
-}
-
-void part_quarantine::decide(std::span<const part_id> parts, absl::Time now)
+void part_quarantine::decide(std::span<const part_id> parts, std::string_view from, absl::Time now)
 {
     std::vector<candidate> candidates;
     for (const part_id part : parts) {
@@ -219,7 +157,7 @@
             candidates.push_back({.part = part, .soundAt = soundAt, .ends = std::move(ends)});
     }
     for (const candidate &chosen : likeliestOf(std::move(candidates)))
-        hold(chosen.part, chosen.ends, m_decidedReporter, now);
+        hold(chosen.part, chosen.ends, from, now);
 }
 
 void part_quarantine::record(quarantine_step step, const held_part &part, std::string_view from)
@@ -273,9 +211,10 @@
     m_losses.setHeld(std::move(parts));
 }
 
-std::vector<target_end> part_quarantine::endsToCheck(absl::Time now) const
+std::vector<target_end> part_quarantine::endsToCheck(absl::Duration removalTime,
+                                                     absl::Time now) const
 {
-    return m_losses.endsBetween(now - maxCheckTime, now - removalTime);
+    return m_losses.endsBetween(now - removalTime - checkTime, now - removalTime);
 }
 
 void part_quarantine::onTargetRunning(const target_incarnation &target)
@@ -311,24 +250,10 @@
            });
 }
 
-absl::Time part_quarantine::nextTrialAt(const held_part &part)
-{
-    const absl::Time last = part.trials == 0 ? part.since : part.lastTrialAt;
-    return last + firstTrialAfter * std::pow(trialBackoff, std::min(part.trials, maxTrialBackoffs));
-}
-
 bool part_quarantine::tryTrial(part_id part, const trial_turn &turn, absl::Time now)
 {
     const auto held = m_held.find(part);
-    if (held == m_held.end() || turn.routers == 0)
-        return false;
-    const absl::Duration late = now - nextTrialAt(held->second);
-    if (late < absl::ZeroDuration())
-        return false;
-    const double turns = absl::FDivDuration(late, trialTurnTime);
-    const double inTurn = turns - std::floor(turns);
-    const auto index = static_cast<std::size_t>(turns) % turn.routers;
-    if (index != turn.rank || inTurn < trialTurnMargin || inTurn > 1.0 - trialTurnMargin)
+    if (held == m_held.end() || !mayTryNow(held->second, turn, now))
         return false;
     ++held->second.trials;
     held->second.lastTrialAt = now;
@@ -337,49 +262,11 @@
     return true;
 }
 
-void part_quarantine::queueLoss(const target_loss &loss, absl::Time now)
-{
-    const auto queued = std::find_if(m_outgoingLosses.begin(), m_outgoingLosses.end(),
-                                     [&](const outgoing_loss &outgoing) {
-                                         return outgoing.loss.end.target == loss.end.target
-                                             && outgoing.sendsLeft == sendsPerLoss;
-                                     });
-    if (queued == m_outgoingLosses.end()) {
-        if (m_outgoingLosses.size() < maxOutgoingLosses)
-            m_outgoingLosses.push_back({.loss = loss, .sendsLeft = sendsPerLoss, .nextAt = now});
-        return;
-    }
-    std::vector<part_id> &parts = queued->loss.parts;
-    for (const part_id part : loss.parts) {
-        if (std::find(parts.begin(), parts.end(), part) == parts.end())
-            parts.push_back(part);
-    }
-}
-
 std::optional<quarantine_news> part_quarantine::takeNews(absl::Duration repeatInterval,
                                                          absl::Time now)
 {
     quarantine_news news;
-    for (outgoing_loss &outgoing : m_outgoingLosses) {
-        if (outgoing.nextAt > now || news.losses.size() >= maxLossesPerNews)
-            continue;
-        target_loss told = outgoing.loss;
-        // Those that were sound long ago, or never, are the likelier cause.
-        std::stable_sort(told.parts.begin(), told.parts.end(), [this](part_id left, part_id right) {
-            return m_losses.soundAt(left) < m_losses.soundAt(right);
-        });
-        told.parts.resize(std::min(told.parts.size(), maxPartsPerLoss));
-        news.losses.push_back(std::move(told));
-        --outgoing.sendsLeft;
-        outgoing.nextAt = now + lossRepeatInterval;
-    }
-    std::erase_if(m_outgoingLosses, [](const outgoing_loss &loss) { return loss.sendsLeft == 0; });
-    while (!m_outgoingSound.empty() && news.sound.size() < maxSoundPerNews) {
-        const auto first = m_outgoingSound.begin();
-        news.sound.push_back({.part = first->first, .at = first->second});
-        recordTold(first->first, first->second);
-        m_outgoingSound.erase(first);
-    }
+    m_outbox.takeInto(news, m_losses, now);
     addHeldNews(news, repeatInterval, now);
     return news.isEmpty() ? std::nullopt : std::optional(std::move(news));
 }
--- a/modules/quarantine/decision/part_quarantine.h
+++ b/modules/quarantine/decision/part_quarantine.h
@@ -1,16 +1,17 @@
 #pragma once
 
 #include "placement/cache/prompt_cache_view.h"
+#include "quarantine/decision/quarantine_event.h"
 #include "quarantine/decision/quarantine_rule.h"
+#include "quarantine/decision/trial_schedule.h"
 #include "quarantine/evidence/loss_table.h"
 #include "quarantine/evidence/quarantine_news.h"
+#include "quarantine/news/news_outbox.h"
 
 #include <absl/container/btree_map.h>
-#include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
 #include <cstddef>
-#include <deque>
 #include <optional>
 #include <span>
 #include <string>
@@ -19,43 +20,6 @@
 
 namespace quetzal {
 
-/** What happened to a held part. */
-enum class quarantine_step
-{
-    Held,
-    /** Held no longer: an answer was written on the part. */
-    ReleasedSound,
-    /** Held no longer: targets that seemed to have ended still run. */
-    ReleasedTargetsRun,
-    /** One request was let through to see whether the part is sound again. */
-    Tried,
-    /** Not held, because too many parts are. */
-    TableFull,
-};
-
-/** Returns the name of a step in logs. */
-std::string_view toText(quarantine_step step);
-
-/** A change of the held parts, for logs. */
-struct quarantine_event
-{
-    quarantine_step step = quarantine_step::Held;
-    held_part part;
-    /** The router whose report led to it; empty for this router's own observation. */
-    std::string reportedBy;
-
-    bool operator==(const quarantine_event &) const = default;
-};
-
-/** The place of a router in the order in which the routers may try a held part. */
-struct trial_turn
-{
-    std::size_t rank = 0;
-    std::size_t routers = 1;
-
-    bool operator==(const trial_turn &) const = default;
-};
-
 /** Options of part_quarantine. */
 struct quarantine_options
 {
@@ -95,8 +59,11 @@
      * of all routers on one end are in.
      */
     void update(absl::Duration settleTime, absl::Time now);
-    /** Returns the ends that the list of targets must have shown by now. */
-    std::vector<target_end> endsToCheck(absl::Time now) const;
+    /**
+     * Returns the ends that the list of targets must have shown by now.
+     * @param removalTime the time within which all routers learn that a target is not listed
+     */
+    std::vector<target_end> endsToCheck(absl::Duration removalTime, absl::Time now) const;
     /** Must be called when the list shows that a target did not end. */
     void onTargetRunning(const target_incarnation &target);
 
@@ -104,8 +71,6 @@
     const held_part *findHeld(const std::vector<prompt_part> &prompt) const;
     /** True if targets ended at separate moments under a shared part, without an answer since. */
     bool isSuspect(const std::vector<prompt_part> &prompt) const;
-    /** Returns from when on a request with a held part may be tried. */
-    static absl::Time nextTrialAt(const held_part &part);
     /** Takes the trial of a held part if it is this router's turn. */
     bool tryTrial(part_id part, const trial_turn &turn, absl::Time now);
 
@@ -125,16 +90,8 @@
         absl::Time receivedAt;
         std::string from;
     };
-    /** A loss that the other routers have not been told of often enough. */
-    struct outgoing_loss
-    {
-        target_loss loss;
-        int sendsLeft = 0;
-        absl::Time nextAt;
-    };
-
     /** Of the parts, holds those that are the likeliest cause, if the evidence suffices. */
-    void decide(std::span<const part_id> parts, absl::Time now);
+    void decide(std::span<const part_id> parts, std::string_view from, absl::Time now);
     /** Adds a loss to the evidence; false if it is outdated. */
     bool addLoss(const target_loss &loss, std::string_view from, absl::Time now);
     /** Holds a part that another router holds, if the evidence suffices here too. */
@@ -150,12 +107,6 @@
     /** Returns the ends under the part since the last answer on it. */
     std::vector<target_end> openEndsOf(part_id part, bool withExplained) const;
     void updateExplained();
-    void queueLoss(const target_loss &loss, absl::Time now);
-    void queueSound(part_id part, absl::Time at);
-    /** Tells the other routers when the part was last sound, unless they have heard that. */
-    void tellSoundMemory(part_id part);
-    /** Remembers that the other routers were told that the part was sound at this time. */
-    void recordTold(part_id part, absl::Time at);
     void addHeldNews(quarantine_news &news, absl::Duration repeatInterval, absl::Time now);
 
     quarantine_limits m_limits;
@@ -164,12 +115,8 @@
     absl::btree_map<part_id, held_part> m_held;
     /** The ends on account of which nothing was decided yet, with their first reports. */
     absl::btree_map<target_incarnation, first_report> m_undecided;
-    std::deque<outgoing_loss> m_outgoingLosses;
-    absl::flat_hash_map<part_id, absl::Time> m_outgoingSound;
-    absl::flat_hash_map<part_id, absl::Time> m_toldSoundAt;
+    news_outbox m_outbox;
     std::vector<quarantine_event> m_events;
-    /** The router that reported the end that is decided on. */
-    std::string m_decidedReporter;
     /** The infinite future while no part is held. */
     absl::Time m_nextHeldNewsAt = absl::InfiniteFuture();
     /** The part after which the next news of held parts begin. */
--- a/modules/quarantine/evidence/loss_table.cpp
+++ b/modules/quarantine/evidence/loss_table.cpp
@@ -25,14 +25,18 @@
     }
     if (m_losses.size() >= maxEnds && !m_losses.contains(loss.end.target))
         dropOldest();
-    recorded_loss &recorded
-        = m_losses.try_emplace(loss.end.target, recorded_loss {.end = loss.end}).first->second;
+    const auto [entry, isNewEnd]
+        = m_losses.try_emplace(loss.end.target, recorded_loss {.end = loss.end});
+    recorded_loss &recorded = entry->second;
+    bool isNews = isNewEnd;
     for (const part_id part : loss.parts) {
-        if (recorded.parts.size() < maxPartsPerEnd && recorded.parts.insert(part).second)
-            m_targetsOfPart[part].push_back(loss.end.target);
+        if (recorded.parts.size() >= maxPartsPerEnd || !recorded.parts.insert(part).second)
+            continue;
+        m_targetsOfPart[part].push_back(loss.end.target);
+        isNews = true;
     }
     explain(recorded);
-    return true;
+    return isNews;
 }
 
 void loss_table::explain(recorded_loss &loss) const
--- a/modules/quarantine/evidence/loss_table.h
+++ b/modules/quarantine/evidence/loss_table.h
@@ -23,7 +23,7 @@
     static constexpr std::size_t maxPartsPerEnd = 128;
     static constexpr std::size_t maxSoundParts = 8192;
 
-    /** Adds the parts to the end of this target; false if it is older than what is known of it. */
+    /** Adds the parts to the end of this target; false if that tells nothing new. */
     bool add(const target_loss &loss);
     /** Drops the ends of a target that turned out to be still running; repeats are ignored. */
     void discard(const target_incarnation &target);
--- a/modules/quarantine/evidence/quarantine_news.h
+++ b/modules/quarantine/evidence/quarantine_news.h
@@ -24,9 +24,8 @@
     auto operator<=>(const target_incarnation &) const = default;
 
     template <typename Hash>
-    friend Hash
-    AbslHashValue(Hash state,
-                  const target_incarnation &value) // NOLINT(readability-identifier-naming)
+    // NOLINTNEXTLINE(readability-identifier-naming): the name that Abseil looks for
+    friend Hash AbslHashValue(Hash state, const target_incarnation &value)
     {
         return Hash::combine(std::move(state), value.target, value.startedAtMs);
     }
--- a/modules/quarantine/quarantine.h
+++ b/modules/quarantine/quarantine.h
@@ -12,6 +12,9 @@
  */
 
 #include "quarantine/decision/part_quarantine.h"
+#include "quarantine/decision/quarantine_event.h"
 #include "quarantine/decision/quarantine_rule.h"
+#include "quarantine/decision/trial_schedule.h"
 #include "quarantine/evidence/loss_table.h"
 #include "quarantine/evidence/quarantine_news.h"
+#include "quarantine/news/news_outbox.h"
--- a/tests/directory/target_directory_test.cpp
+++ b/tests/directory/target_directory_test.cpp
@@ -233,3 +233,47 @@
         CHECK(directory.find("a")->coldUntil == start + absl::Seconds(3));
     }
 }
+
+TEST_CASE("whether a target still runs after it seemed to have ended", "[directory]")
+{
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+    const absl::Time endedAt = start + absl::Seconds(10);
+    constexpr absl::Duration removalTime = absl::Seconds(5);
+    target_directory directory;
+    directory.apply(engine("a"), absl::ZeroDuration(), start);
+    const auto isStillListed = [&](absl::Duration later) {
+        return directory.isStillListed("a", 1, endedAt, removalTime, endedAt + later);
+    };
+
+    SECTION("is known once its record would have been removed")
+    {
+        directory.onListConfirmed(endedAt + absl::Seconds(4));
+        CHECK_FALSE(isStillListed(absl::Seconds(4)));
+        directory.onListConfirmed(endedAt + absl::Seconds(6));
+        CHECK(isStillListed(absl::Seconds(6)));
+
+        AND_THEN("it does not if the record is of a later start")
+        {
+            target_record restarted = engine("a");
+            restarted.startedAtMs = 2;
+            directory.apply(restarted, absl::ZeroDuration(), endedAt + absl::Seconds(6));
+            CHECK_FALSE(isStillListed(absl::Seconds(6)));
+        }
+        AND_THEN("it does not if the record is removed")
+        {
+            directory.remove("a", endedAt + absl::Seconds(6));
+            CHECK_FALSE(isStillListed(absl::Seconds(6)));
+        }
+    }
+    SECTION("is not known in an outage of the list, nor shortly after, as no record expires in it")
+    {
+        directory.onListUnavailable(endedAt);
+        directory.onListConfirmed(endedAt + absl::Seconds(6));
+        CHECK_FALSE(isStillListed(absl::Seconds(6)));
+        directory.onListAvailable(endedAt + absl::Seconds(8));
+        directory.onListConfirmed(endedAt + absl::Seconds(9));
+        CHECK_FALSE(isStillListed(absl::Seconds(9)));
+        directory.onListConfirmed(endedAt + absl::Seconds(14));
+        CHECK(isStillListed(absl::Seconds(14)));
+    }
+}
--- a/tests/quarantine/part_quarantine_test.cpp
+++ b/tests/quarantine/part_quarantine_test.cpp
@@ -160,8 +160,8 @@
         }
         AND_THEN("it is released when the list shows that targets did not end")
         {
-            CHECK(quarantine.endsToCheck(start + absl::Seconds(5)).empty());
-            CHECK(quarantine.endsToCheck(start + absl::Seconds(9)).size() == 3);
+            CHECK(quarantine.endsToCheck(absl::Seconds(5), start + absl::Seconds(5)).empty());
+            CHECK(quarantine.endsToCheck(absl::Seconds(5), start + absl::Seconds(9)).size() == 3);
             quarantine.onTargetRunning({.target = 2, .startedAtMs = 7});
             CHECK(quarantine.held().empty());
         }
@@ -292,7 +292,7 @@
             int turns = 0;
             for (std::size_t rank = 0; rank < routers; ++rank) {
                 part_quarantine copy = quarantine;
-                const absl::Time due = part_quarantine::nextTrialAt(copy.held().at(fatal));
+                const absl::Time due = nextTrialAt(copy.held().at(fatal));
                 turns += copy.tryTrial(fatal, {.rank = rank, .routers = routers}, due + at);
             }
             CHECK(turns <= 1);
@@ -313,7 +313,7 @@
         quarantine.onSound(answered, start + at);
     }
     const absl::Time now = start + absl::Seconds(40);
-    CHECK(quarantine.endsToCheck(now).size() <= loss_table::maxEnds);
+    CHECK(quarantine.endsToCheck(absl::Seconds(5), now).size() <= loss_table::maxEnds);
     for (int round = 0; round < 100; ++round) {
         const auto news = quarantine.takeNews(absl::Seconds(1), now + absl::Seconds(round));
         if (!news)
