Held prompt parts outlive the table of ends; news of a held part without ends are not answered

Cause: the kept ends were replaced whatever the table still had; all_of is true for none. Change: they are replaced by more only.

--- a/modules/quarantine/decision/part_quarantine.cpp
+++ b/modules/quarantine/decision/part_quarantine.cpp
@@ -123,8 +123,9 @@
     for (const target_end &end : told.ends)
         m_losses.add({.end = end, .parts = {told.part}});
     const absl::Time soundAt = m_losses.soundAt(told.part);
-    const bool isOutdated = std::all_of(told.ends.begin(), told.ends.end(),
-                                        [&](const target_end &end) { return end.at < soundAt; });
+    const bool isOutdated = !told.ends.empty()
+        && std::all_of(told.ends.begin(), told.ends.end(),
+                       [&](const target_end &end) { return end.at < soundAt; });
     if (isOutdated)
         m_outbox.addSound(told.part, soundAt);
     const std::vector<target_end> ends = openEndsOf(told.part, false);
@@ -185,7 +186,11 @@
         const auto held = m_held.find(part);
         if (held == m_held.end() || held->second.ends.size() >= maxEndsOfHeldPart)
             continue;
-        held->second.ends = mostTellingEnds(openEndsOf(part, true), maxEndsOfHeldPart, m_limits);
+        std::vector<target_end> ends
+            = mostTellingEnds(openEndsOf(part, true), maxEndsOfHeldPart, m_limits);
+        // The table may have dropped ends that were kept here.
+        if (ends.size() > held->second.ends.size())
+            held->second.ends = std::move(ends);
     }
 }
 
--- a/modules/quarantine/decision/part_quarantine.h
+++ b/modules/quarantine/decision/part_quarantine.h
@@ -34,9 +34,8 @@
  *
  * Of the parts that several targets ended under, those are held on which the last answer is the
  * oldest, and of these the ones with the most ends; the ends that a held part explains do not count
- * against others. A held part is released
- * when a target writes an answer on it, which trials make possible: single requests, sent by one
- * router for all, at growing intervals.
+ * against others. A held part is released when a target writes an answer on it, which trials make
+ * possible: single requests, sent by one router for all, at growing intervals.
  */
 class part_quarantine
 {
--- a/tests/quarantine/part_quarantine_test.cpp
+++ b/tests/quarantine/part_quarantine_test.cpp
@@ -323,6 +323,25 @@
             CHECK(loss.parts.size() <= 40);
     }
 
+    SECTION("a held part outlives the ends that the table drops")
+    {
+        part_quarantine full;
+        for (const std::uint64_t target : {1U, 2U, 3U})
+            report(full, lossOf(target, absl::Seconds(target), {fatal}));
+        REQUIRE(full.held().contains(fatal));
+        for (std::uint64_t target = 100; target < 100 + loss_table::maxEnds; ++target)
+            report(full, lossOf(target, absl::Seconds(4 + target), {popular}));
+        report(full, lossOf(4, absl::Seconds(2000), {fatal}));
+        full.onSound(std::vector<part_id> {fatal}, start);
+        CHECK(full.held().contains(fatal));
+    }
+    SECTION("a part that is told to be held without any end is not, and not answered")
+    {
+        part_quarantine fresh;
+        fresh.onNews({.held = {{.part = fatal, .since = now}}}, "peer", now);
+        CHECK(fresh.held().empty());
+        CHECK_FALSE(fresh.takeNews(absl::Seconds(1), now));
+    }
     SECTION("no more parts are held than the table has room for, and that is recorded")
     {
         part_quarantine full;
