--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""A tenant sends many times its usual, requests as large as the configuration allows."""
+"""A prompt part crashes engines, and the processes of all machines are killed now and then."""
 
 import asyncio
 import os
@@ -11,107 +11,126 @@
 sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
 import rig as lib  # noqa: E402
 
-MEMORY_MB = 260
-BODY_BYTES = 4 * 1024 * 1024
-# hot_tenant: a tenant sends x 7.5 its usual for 6.5 s (the site's largest); here x 6.8 for 4 s.
-HOT = 6.8
-RATE = 2.0
-PHASE_S = 4.0
-KINDS = 4
-ROUNDS = 3
-ANSWER_S = 1.0
+CONTACT_S = 3.0
+BACK_S = 2.0
+EXPIRY_S = 3.6
 RESTART_S = 0.3
+# One request with the part each 4.5 s; kills of all processes, in seconds from the start of traffic.
+FATAL_GAP_S = 4.5
+KILLS_AT_S = [9.3, 22.8, 36.3]
+TRAFFIC_S = 52.0
+SOUND_RATE = 8.0
+ENGINES = 6
 CONFIG = {
     "version": 7,
-    "routes": [{"name": f"r-{n}", "host": "h.example", "prefix": f"/kind{n}/", "routeKind": "safe",
-                "timeoutMs": 12000, "targetLatencyMs": 2000, "priority": 1, "service": f"s-{n}",
-                "maxAttempts": 2, "public": False, "sticky": False, "resumable": False,
-                "targetGapMs": 0} for n in range(KINDS)],
-    "services": [{"name": f"s-{n}", "healthPath": "/healthz", "maxConnections": 360,
-                  "coldStartS": 0, "coldPerS": 0} for n in range(KINDS)],
-    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": BODY_BYTES, "headerTimeoutMs": 5000,
+    "routes": [{"name": "r-notice", "host": "h.example", "prefix": "/notice/",
+                "routeKind": "streaming", "timeoutMs": 12000, "targetLatencyMs": 800,
+                "priority": 1, "service": "roster-llm", "maxAttempts": 1, "public": False,
+                "sticky": True, "resumable": False, "targetGapMs": 300}],
+    "services": [{"name": "roster-llm", "healthPath": "/healthz", "maxConnections": 360,
+                  "coldStartS": 0, "coldPerS": 0, "engine": {"kvCapacityTokens": 498633}}],
+    "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 5000,
                "idleTimeoutMs": 30000, "tokensPerS": 0},
     "tenants": [{"name": "t1", "apiKeys": ["key-of-t1"]}]}
-BODY = b"x" * BODY_BYTES
 
 
-def resident_mb(pid):
-    """Returns the resident memory of a process that this script started, in MiB."""
-    try:
-        with open(f"/proc/{pid}/status", encoding="ascii") as file:
-            for line in file:
-                if line.startswith("VmRSS:"):
-                    return int(line.split()[1]) / 1024
-    except (OSError, ProcessLookupError):
-        pass
-    return 0.0
+async def case(rig):
+    arrivals = []
+    crashes = []
+    later = []
+    started = {}
+    down = {}
 
+    async def replace(engine):
+        """Brings the engine back under a new id; its old entry expires after three heartbeats."""
+        await asyncio.sleep(BACK_S)
+        follower = lib.Engine(rig, f"{engine.id}n", engine.service, engine.zone, work)
+        rig.engines.append(follower)
+        await follower.start(engine.ip, engine.port)
+        await asyncio.sleep(EXPIRY_S - BACK_S)
+        await rig.store.remove(f"servers/{engine.id}")
 
-async def case(rig):
     async def work(engine, request):
-        await asyncio.sleep(ANSWER_S)
-        return 200, [("Content-Type", "text/plain")], b"done"
+        ident = request.get("X-Attempt-Id")
+        if "fa7a1:" in request.get("X-Prefix-Hash"):
+            arrivals.append((time.monotonic(), ident))
+            rig.record.line("engine", engine.id, "begins to answer", ident, "and crashes")
+            crashes.append(time.monotonic())
+            engine.crash()
+            later.append(asyncio.create_task(replace(engine)))
+            await asyncio.sleep(1)
+        await asyncio.sleep(0.2)
+        return 200, [("Content-Type", "text/event-stream")], b"id: 1\ndata: notice\n\n"
 
-    zones = ["nashua", "lowell"]
-    engines = [lib.Engine(rig, f"i-{n}-{zone}", f"s-{n}", zone, work, keep_alive_s=60)
-               for n in range(KINDS) for zone in zones]
+    zones = ["nashua", "lowell", "concord"]
+    engines = [lib.Engine(rig, f"i-llm-{n + 1}", "roster-llm", zones[n % 3], work)
+               for n in range(ENGINES)]
     await rig.start(CONFIG, engines, zones)
-    highest = {edge.name: 0.0 for edge in rig.edges}
-    ends = {edge.name: 0 for edge in rig.edges}
+    for edge in rig.edges:
+        started[edge.name] = time.monotonic() - 10
     counts = {}
+    begin = time.monotonic()
 
-    async def platform(edge):
-        """Kills a process that exceeds memoryMb and starts it again."""
-        while True:
-            used = resident_mb(edge.process.pid)
-            highest[edge.name] = max(highest[edge.name], used)
-            if used > MEMORY_MB:
-                ends[edge.name] += 1
-                rig.record.line(edge.name, f"uses {used:.0f} MB of {MEMORY_MB}: it is ended")
-                edge.signal(signal.SIGKILL)
-                await edge.restart_after(RESTART_S)
-            await asyncio.sleep(0.01)
-
-    async def request(edge, kind, ident):
+    async def ask(edge, ident, prompt):
         connection = lib.Client(rig, edge)
         try:
             await connection.connect()
-            answer = await connection.ask("POST", f"/kind{kind}/x", ident, 10000, key="key-of-t1",
-                                          body=BODY)
+            answer = await connection.ask(
+                "POST", "/notice/x", ident, 6000, key="key-of-t1", body=b"?",
+                fields=[("X-Model", "m"), ("X-Token-Usage", "140,20"), ("X-Prefix-Hash", prompt)])
             outcome = answer.status
         except (lib.Broken, OSError, asyncio.TimeoutError) as error:
             outcome = type(error).__name__
         finally:
             connection.close()
-        counts[outcome] = counts.get(outcome, 0) + 1
-        rig.record.line("request", ident, "at", edge.name, "answered", outcome)
+        kind = "fatal" if "fa7a1" in prompt else "sound"
+        counts[(kind, outcome)] = counts.get((kind, outcome), 0) + 1
+        rig.record.line(kind, "request", ident, "at", edge.name, "answered", outcome)
 
-    async def traffic(edge):
-        rate = RATE * (HOT if rig.is_troubled else 1.0)
-        tasks = []
+    async def traffic(kind, gap):
         number = 0
-        for round_ in range(ROUNDS):
-            for kind in range(KINDS):
-                rig.record.line(edge.name, "round", round_, "kind", kind,
-                                f"{resident_mb(edge.process.pid):.0f} MB")
-                end = time.monotonic() + PHASE_S
-                while time.monotonic() < end:
-                    number += 1
-                    tasks.append(asyncio.create_task(
-                        request(edge, kind, f"{edge.number:02d}{number:014d}")))
-                    await asyncio.sleep(1 / rate)
-                await asyncio.sleep(ANSWER_S)
+        tasks = []
+        while time.monotonic() < begin + TRAFFIC_S:
+            edge = rig.edges[number % len(rig.edges)]
+            number += 1
+            ident = f"{kind[0]}{edge.number}{number:014x}"
+            part = "fa7a1:30" if kind == "fatal" else "b2:30"
+            tasks.append(asyncio.create_task(ask(edge, ident, f"a1:100,{part},{number + 4096:x}:10")))
+            await asyncio.sleep(gap)
         await asyncio.gather(*tasks)
 
-    keepers = [asyncio.create_task(platform(edge)) for edge in rig.edges]
-    await asyncio.gather(*(traffic(edge) for edge in rig.edges))
-    for keeper in keepers:
-        keeper.cancel()
-    rig.record.line("highest use of memory:",
-                    ", ".join(f"{name} {used:.0f} MB" for name, used in highest.items()),
-                    "ended for it:", ends, "answers:", counts)
-    if all(count >= 3 for count in ends.values()):
-        return f"Fault, processes ended for memory over the limit: {ends}, answers {counts}"
+    async def kills():
+        for at in KILLS_AT_S:
+            await asyncio.sleep(max(0.0, begin + at - time.monotonic()))
+            for edge in rig.edges:
+                down.setdefault(edge.name, []).append(time.monotonic())
+                edge.signal(signal.SIGKILL)
+            await asyncio.gather(*(edge.restart_after(RESTART_S) for edge in rig.edges))
+            for edge in rig.edges:
+                started[edge.name] = time.monotonic()
+
+    def is_in_touch(edge, at):
+        """True if the process ran for the whole contactMs before this moment."""
+        return all(not at - CONTACT_S - 1.0 < killed <= at for killed in down.get(edge.name, []))
+
+    jobs = [traffic("fatal", FATAL_GAP_S), traffic("sound", 1 / SOUND_RATE)]
+    if rig.is_troubled:
+        jobs.append(kills())
+    await asyncio.gather(*jobs)
+    for task in later:
+        task.cancel()
+    if len(crashes) < 5:
+        counted = []
+    else:
+        by_number = {str(edge.number): edge for edge in rig.edges}
+        counted = [ident for at, ident in arrivals
+                   if at > crashes[4] + CONTACT_S and is_in_touch(by_number[ident[1]], at)]
+    rig.record.line(f"{len(crashes)} engines crashed; later than contactMs after the fifth crash,",
+                    f"machines in touch sent {len(counted)}: {counted}; allowed are 3;",
+                    f"answers: {counts}")
+    if len(counted) > 3:
+        return (f"BUDGET, {len(counted)} requests with the part reached engines later than contactMs "
+                f"after the fifth crash, from machines in touch; {len(crashes)} engines crashed")
     return ""
 
 
