--- a/review/lib/rig.py
+++ b/review/lib/rig.py
@@ -311,18 +311,22 @@
         self.name = f"edge-{zone}-{number}"
         self.ip = f"{rig.net}.{number}"
         self.process = None
-        self.keeper = None
+        self.starting = None
         self.log = open(os.path.join(rig.folder, self.name + ".log"), "wb")
         self.settings = os.path.join(rig.folder, self.name + ".yaml")
         with open(self.settings, "w", encoding="utf-8") as file:
             file.write(rig.settings_text(self))
 
     async def start(self):
+        if self.rig.is_stopping:
+            return
         env = {name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ}
         env["QUETZALREACH_CONFIG"] = self.settings
-        self.process = await asyncio.create_subprocess_exec(
+        # Goes on if this call is cancelled, so that stop() finds each process that was started.
+        self.starting = asyncio.ensure_future(asyncio.create_subprocess_exec(
             *self.rig.command, cwd=ROOT, env=env, stdout=self.log, stderr=self.log,
-            stdin=asyncio.subprocess.DEVNULL)
+            stdin=asyncio.subprocess.DEVNULL))
+        self.process = await asyncio.shield(self.starting)
         self.rig.record.line(self.name, "starts, process", self.process.pid)
 
     def signal(self, number):
@@ -365,6 +369,7 @@
         self.edges = []
         self.store = Store()
         self.memory_mb = 260
+        self.is_stopping = False
         with open(os.path.join(ROOT, "deploy", "system.toml"), "rb") as file:
             self.command = tomllib.load(file)["roles"]["edge"]["run"].split()
         if not os.access(os.path.join(ROOT, self.command[0]), os.X_OK):
@@ -491,7 +496,11 @@
                 await asyncio.sleep(0.1)
 
     async def stop(self):
+        """Ends all processes that were started, also one whose start was cancelled."""
+        self.is_stopping = True
         for edge in self.edges:
+            if edge.starting:
+                edge.process = await edge.starting
             if edge.process and edge.process.returncode is None:
                 edge.process.kill()
                 await edge.process.wait()
@@ -580,12 +589,18 @@
     """Runs a case, a coroutine that takes the rig and returns what broke; exits as the issue says."""
     async def body():
         rig = Rig(folder)
+        main = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, main.cancel)
         try:
             return await asyncio.wait_for(case(rig), 110)
         finally:
             await rig.stop()
     try:
         broken = asyncio.run(body())
+    except asyncio.CancelledError:
+        print("could not run: stopped")
+        sys.exit(2)
     except CannotRun as error:
         print(f"could not run: {error}")
         sys.exit(2)
