Limits of the fleet: a process counts what the one before it may have spent

Before the list of routers was read, a process took the limits of the whole fleet for its own.

Ready means now that the routers are known.

--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -97,12 +97,13 @@
 forwarding_options nodeOptions(const edge_settings &settings)
 {
     return {.dataCentre = settings.dataCentre,
-            .routers = {.self = settings.vm, .members = {settings.vm}},
+            .routers = {.self = settings.vm, .members = {}},
             .fleet = fleetLimits(settings),
             .processorShare = settings.processorShare,
             .recordRemovalTime
             = settings.targetHeartbeat * heartbeatsToExpiry + removalPropagationTime,
             .maxAnswerBytes = maxHeldBytes(settings),
+            .startedAt = edgeNow(),
             .incarnation = newIncarnation()};
 }
 
--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -124,7 +124,7 @@
 bool store_feed::isComplete() const
 {
     return m_context.node.routes() && m_targets.follower().mirror().isComplete()
-        && m_members.follower().mirror().isComplete();
+        && m_areRoutersKnown;
 }
 
 void store_feed::onConfiguration(const std::vector<key_change> &changes)
@@ -226,8 +226,11 @@
 
 void store_feed::onMembersCurrentChanged(bool isCurrent)
 {
-    if (isCurrent)
-        m_memberTable.onRecordsReadable(edgeNow());
+    if (!isCurrent)
+        return;
+    m_memberTable.onRecordsReadable(edgeNow());
+    // An empty list, as at the first start of the fleet, is no change.
+    onMembers();
 }
 
 void store_feed::updateRouters(absl::Time now)
--- a/bench/emulator/fleet/emulated_fleet.cpp
+++ b/bench/emulator/fleet/emulated_fleet.cpp
@@ -132,16 +132,17 @@
     emulated_vm &machine = m_vms[vm];
     if (machine.router)
         return;
-    ++machine.incarnation;
+    const bool isFirst = ++machine.incarnation == 1;
     machine.isFrozen = false;
     emulated_router_options options {
         .node = {.dataCentre = machine.dataCentre,
-                 .routers = {.self = machine.name, .members = {machine.name}},
+                 .routers = {.self = machine.name, .members = {}},
                  .fleet = m_plan.limits,
                  .weights = m_plan.weights,
                  .limits = m_plan.backlog,
                  .capacity = m_plan.capacity,
                  .processorShare = m_plan.processor ? m_plan.processor->share : 1.0,
+                 .startedAt = isFirst ? absl::InfinitePast() : events().now(),
                  .incarnation = machine.incarnation},
         .digestInterval = m_plan.digestInterval,
         .processor = m_plan.processor};
--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -62,8 +62,10 @@
                         m_node.directory().onListAvailable(now);
                     else if (prefix == targetMirror)
                         m_node.directory().onListUnavailable(now);
-                    else if (prefix == memberMirror && isCurrent)
+                    else if (prefix == memberMirror && isCurrent) {
                         m_members.onRecordsReadable(now);
+                        onMembers();
+                    }
                 },
             .hasPeers = [this] { return m_hasHeardPeer || peerCount() > 0; },
             .copyFromPeer =
--- a/bench/emulator/router/emulated_router.h
+++ b/bench/emulator/router/emulated_router.h
@@ -13,6 +13,7 @@
 #include <absl/container/flat_hash_map.h>
 #include <absl/time/time.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -128,7 +129,10 @@
     void onMembers();
     void sendDigests();
     peer_digest nextDigest(absl::Time now);
-    std::size_t peerCount() const { return m_node.routers().members.size() - 1; }
+    std::size_t peerCount() const
+    {
+        return std::max<std::size_t>(m_node.routers().members.size(), 1) - 1;
+    }
     /** Counts work of which the node limits the amount in a turn of the event loop. */
     void onTurnWork();
     /** Takes a waiting connection or turns it away; returns the processor time. */
--- a/bench/emulator/store/emulated_mirror.cpp
+++ b/bench/emulator/store/emulated_mirror.cpp
@@ -143,7 +143,7 @@
     if (!answer)
         m_follower.onFailure(now);
     else if (const auto *listing = std::get_if<listing_page>(&*answer))
-        appliedChanges = m_follower.onListing(*listing, now);
+        appliedChanges = m_follower.onListing(*listing, step.afterKey, now);
     else if (const auto *changes = std::get_if<change_page>(&*answer))
         appliedChanges = m_follower.onChanges(*changes, step.revision, now);
     else
--- a/modules/budgets/cold/cold_start_limiter.cpp
+++ b/modules/budgets/cold/cold_start_limiter.cpp
@@ -15,7 +15,9 @@
 
 int shareOf(int permits, const std::string &key, const router_group &group)
 {
-    const auto members = static_cast<int>(std::max<std::size_t>(group.members.size(), 1));
+    if (group.members.empty())
+        return 0;
+    const auto members = static_cast<int>(group.members.size());
     const int wholeShare = permits / members;
     const int remainder = permits % members;
     if (remainder == 0)
@@ -28,9 +30,16 @@
     return wholeShare + (ahead < remainder ? 1 : 0);
 }
 
+cold_start_limiter::cold_start_limiter(absl::Time startedAt)
+    : m_startedAt(startedAt)
+{
+}
+
 bool cold_start_limiter::maySend(const std::string &target, int permits, const router_group &group,
                                  absl::Time now) const
 {
+    if (now < m_startedAt + window)
+        return false;
     const auto found = m_sent.find(target);
     const std::size_t sent = found == m_sent.end() ? 0 : found->second.count(now);
     return static_cast<int>(sent) < shareOf(permits, target, group);
@@ -41,9 +50,9 @@
     m_sent.try_emplace(target, window).first->second.add(now);
 }
 
-void cold_start_limiter::remove(const std::string &target)
+void cold_start_limiter::removeExpired(absl::Time now)
 {
-    m_sent.erase(target);
+    absl::erase_if(m_sent, [now](const auto &entry) { return entry.second.count(now) == 0; });
 }
 
 } // namespace quetzal
--- a/modules/budgets/connection/connection_share.cpp
+++ b/modules/budgets/connection/connection_share.cpp
@@ -13,14 +13,17 @@
 
 int guaranteedConnections(const connection_bounds &bounds)
 {
-    const auto routers = static_cast<int>(std::max<std::size_t>(bounds.routers, 1));
-    return std::max(bounds.maxConnections / 2 / routers, 1);
+    if (bounds.routers == 0)
+        return 1;
+    return std::max(bounds.maxConnections / 2 / static_cast<int>(bounds.routers), 1);
 }
 
 int connectionShare(const connection_bounds &bounds, int usedBeyond)
 {
     const int guaranteed = guaranteedConnections(bounds);
-    const auto routers = static_cast<int>(std::max<std::size_t>(bounds.routers, 1));
+    const auto routers = static_cast<int>(bounds.routers);
+    if (routers == 0)
+        return guaranteed;
     if (routers == 1)
         return std::max(bounds.maxConnections, 1);
     const int free = bounds.maxConnections - guaranteed * routers - usedBeyond;
--- a/modules/budgets/connection/connection_share.h
+++ b/modules/budgets/connection/connection_share.h
@@ -9,6 +9,7 @@
 {
     /** The number of connections that the target accepts from all routers together. */
     int maxConnections = 0;
+    /** The number of routers that share the connections; 0 before any are known. */
     std::size_t routers = 1;
 
     bool operator==(const connection_bounds &) const = default;
@@ -16,7 +17,7 @@
 
 /**
  * Returns how many connections each router may have whatever the others do: its even share of half
- * of the connections, and at least one.
+ * of the connections, and at least one. Before the others are known it is one.
  */
 int guaranteedConnections(const connection_bounds &bounds);
 
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -38,7 +38,8 @@
     : m_options(std::move(options))
     , m_connectionLimiter(turnLimitsOf(m_options.processorShare))
     , m_requestLimiter(turnLimitsOf(m_options.processorShare * requestsPerConnectionTaken))
-    , m_retryBudget(m_options.fleet.retries)
+    , m_coldLimiter(m_options.startedAt)
+    , m_retryBudget(m_options.fleet.retries, m_options.startedAt)
     , m_accounts(m_options.capacity)
     , m_quarantine({.newsPhase = phaseOf(m_options.routers.self)})
     , m_answerMemory(m_options.maxAnswerBytes)
@@ -89,6 +90,7 @@
 void forwarding_node::removeTarget(const std::string &id, absl::Time now)
 {
     m_directory.remove(id, now);
+    m_coldLimiter.removeExpired(now);
     forgetIfRemoved(id);
 }
 
@@ -102,7 +104,6 @@
 {
     if (m_directory.find(id) != nullptr)
         return;
-    m_coldLimiter.remove(id);
     m_targetOfHash.erase(stableHash(id));
     dropViewIfRemoved(id);
 }
@@ -122,9 +123,7 @@
                                                                  absl::Time arrivedAt) const
 {
     if (!m_table)
-        return rejection {.status = statusUnavailable,
-                          .code = result_code::ConfigurationMissing,
-                          .retryAfter = retryAfterStart};
+        return missingConfigurationRejection();
     const route *matchedRoute = m_table->find(request.host, request.path);
     if (matchedRoute == nullptr || matchedRoute->services.empty())
         return rejection {.status = statusNotFound, .code = result_code::ServiceUnknown};
@@ -143,6 +142,13 @@
                              .deadline = deadline};
 }
 
+rejection forwarding_node::missingConfigurationRejection()
+{
+    return {.status = statusUnavailable,
+            .code = result_code::ConfigurationMissing,
+            .retryAfter = retryAfterStart};
+}
+
 rejection forwarding_node::connectionRejection()
 {
     return {.status = statusUnavailable,
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -75,6 +75,8 @@
     /** Checks a request against the active configuration. */
     std::variant<admitted_request, rejection> admit(const request_description &request,
                                                     absl::Time arrivedAt) const;
+    /** Returns the rejection of all requests while there is no configuration. */
+    static rejection missingConfigurationRejection();
     /**
      * Takes a new connection; false if this turn of the event loop has taken as many as the
      * processor can serve. One that is not taken is answered with connectionRejection(), unread.
--- a/modules/forwarding/node/forwarding_types.h
+++ b/modules/forwarding/node/forwarding_types.h
@@ -48,6 +48,11 @@
     absl::Duration recordRemovalTime = absl::Seconds(5);
     /** The memory for answers that are not relayed yet, of all requests together. */
     std::size_t maxAnswerBytes = std::size_t {64} * 1024 * 1024;
+    /**
+     * When the process started. What an earlier one spent of the fleet's limits just before is not
+     * known; the infinite past if there was none.
+     */
+    absl::Time startedAt = absl::InfinitePast();
     /** Distinguishes this run of the router from earlier ones in its digests. */
     std::uint64_t incarnation = 0;
 };
--- a/tests/budgets/budgets_test.cpp
+++ b/tests/budgets/budgets_test.cpp
@@ -55,6 +55,66 @@
     {
         CHECK_FALSE(limiter.maySend("target", 0, group, start));
     }
+
+    SECTION("no requests before the routers are known, which may be many")
+    {
+        CHECK_FALSE(limiter.maySend("target", 10, {.self = "vm0", .members = {}}, start));
+    }
+
+    SECTION("no more requests if its record is removed and it starts again under its name")
+    {
+        for (int sent = 0; sent < share; ++sent)
+            limiter.onSent("target", start);
+        limiter.removeExpired(start + absl::Milliseconds(500));
+        CHECK_FALSE(limiter.maySend("target", 10, group, start + absl::Milliseconds(500)));
+    }
+}
+
+TEST_CASE("a process does not know what the one before it spent of the fleet's limits", "[budgets]")
+{
+    const router_group group = groupOf(3, 0);
+
+    SECTION("so it sends nothing to a cold target until that has left the window")
+    {
+        const cold_start_limiter limiter(start);
+        const absl::Time end = start + cold_start_limiter::window;
+        CHECK_FALSE(limiter.maySend("target", 10, group, end - absl::Milliseconds(1)));
+        CHECK(limiter.maySend("target", 10, group, end));
+    }
+
+    SECTION("and both together spend the router's part of the retries at most")
+    {
+        constexpr std::size_t routers = 6;
+        const retry_limits limits {.window = absl::Seconds(10), .ratio = 0.2, .allowance = 60.0};
+        shared_retry_budget former(limits);
+        shared_retry_budget next(limits, start);
+        int spent = 0;
+        while (former.trySpend("service", routers, start))
+            ++spent;
+        const int spentBefore = spent;
+        while (next.trySpend("service", routers, start))
+            ++spent;
+        CHECK(spent > spentBefore);
+        CHECK(spent <= 60.0 / routers);
+        const absl::Time later = start + limits.window;
+        int spentLater = 0;
+        while (next.trySpend("service", routers, later))
+            ++spentLater;
+        CHECK(spentLater == spentBefore);
+    }
+
+    SECTION("and spends no retries before it knows how many routers share them")
+    {
+        shared_retry_budget budget({.allowance = 60.0});
+        CHECK_FALSE(budget.trySpend("service", 0, start));
+    }
+
+    SECTION("and takes one connection to each target before that")
+    {
+        const connection_bounds bounds {.maxConnections = 720, .routers = 0};
+        CHECK(guaranteedConnections(bounds) == 1);
+        CHECK(connectionShare(bounds, 0) == 1);
+    }
 }
 
 TEST_CASE("retries stay below the fleet's budget in every window", "[budgets]")
