A page of a dropped listing is not applied as the whole

Cause: an update of another router drops a listing in progress, but the answer to its next page was still applied, so that the keys of the earlier pages counted as removed.

Change: a page names the key after which it was read, and is ignored unless it continues the listing. Result: the new case of tests/replication; it fails without the check.

--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -164,7 +164,7 @@
         if (!page)
             return false;
         reportUnreadable(page->unreadableCount);
-        changes = m_follower.onListing(*page, now);
+        changes = m_follower.onListing(*page, step.afterKey, now);
     }
     sendUpdate();
     reportCurrent(now);
--- a/modules/replication/follower/mirror_follower.cpp
+++ b/modules/replication/follower/mirror_follower.cpp
@@ -118,11 +118,9 @@
 
 follower_step mirror_follower::listStep(absl::Time now) const
 {
-    follower_step step {.kind = follower_step::action::List,
-                        .delay = timeUntil(m_storeAnsweredAt + retryDelay(), now)};
-    if (!m_listed.empty())
-        step.afterKey = m_listed.back().key;
-    return step;
+    return {.kind = follower_step::action::List,
+            .afterKey = lastListedKey(),
+            .delay = timeUntil(m_storeAnsweredAt + retryDelay(), now)};
 }
 
 follower_step mirror_follower::watchStep(absl::Time now) const
@@ -181,9 +179,17 @@
         m_missed.reset();
 }
 
-std::vector<key_change> mirror_follower::onListing(const listing_page &page, absl::Time now)
+std::string mirror_follower::lastListedKey() const
+{
+    return m_listed.empty() ? std::string() : m_listed.back().key;
+}
+
+std::vector<key_change> mirror_follower::onListing(const listing_page &page,
+                                                   const std::string &afterKey, absl::Time now)
 {
     onStoreAnswer(now);
+    if (afterKey != lastListedKey())
+        return {};
     if (!m_listedRevision) {
         m_listedRevision = page.revision;
         m_listedAt = now;
--- a/modules/replication/follower/mirror_follower.h
+++ b/modules/replication/follower/mirror_follower.h
@@ -119,8 +119,14 @@
      */
     bool isFirstListingSlow(absl::Time calledAt, absl::Time now, bool hasPeers) const;
 
-    /** Adds a page of the listing; the last page returns the changes that the listing caused. */
-    std::vector<key_change> onListing(const listing_page &page, absl::Time now);
+    /**
+     * Adds a page of the listing; the last page returns the changes that the listing caused. A page
+     * that does not continue the listing is ignored: another router's update may have made the
+     * listing needless while the page was being read.
+     * @param afterKey the key after which the page begins, as in follower_step
+     */
+    std::vector<key_change> onListing(const listing_page &page, const std::string &afterKey,
+                                      absl::Time now);
     /**
      * Applies the changes of a watch, possibly none; returns those that were not known. If the
      * service is behind the replica, the replica is listed again and replaced.
@@ -192,6 +198,8 @@
     absl::Duration copySpread() const;
     void onStoreAnswer(absl::Time now);
     /** Abandons the listing in progress, because the replica is complete without it. */
+    /** Returns the last key that was listed; empty before the first page. */
+    std::string lastListedKey() const;
     void dropListing();
     void onMissed(std::int64_t revision, const std::string &host, absl::Time now);
     std::vector<key_change> applyCopy(const mirror_copy &copy, absl::Time now);
--- a/tests/replication/mirror_follower_test.cpp
+++ b/tests/replication/mirror_follower_test.cpp
@@ -61,11 +61,12 @@
     SECTION("reads page by page, then watches from the first page's revision")
     {
         CHECK(follower
-                  .onListing({.items = {item("a/1", "x", 1)}, .hasMore = true, .revision = 5}, now)
+                  .onListing({.items = {item("a/1", "x", 1)}, .hasMore = true, .revision = 5}, {},
+                             now)
                   .empty());
         CHECK(follower.next(now, false).afterKey == "a/1");
         const auto appliedChanges = follower.onListing(
-            {.items = {item("a/2", "y", 6)}, .hasMore = false, .revision = 7}, now);
+            {.items = {item("a/2", "y", 6)}, .hasMore = false, .revision = 7}, "a/1", now);
         CHECK(appliedChanges.size() == 2);
         CHECK(follower.next(now, false).kind == action::Watch);
         CHECK(follower.next(now, false).revision == 5);
@@ -113,13 +114,14 @@
     {
         follower.onListing(
             {.items = {item("a/1", "x", 1), item("a/2", "y", 2)}, .hasMore = true, .revision = 5},
-            now);
+            {}, now);
         follower.onFailure(now);
         const follower_step next = follower.next(now, false);
         CHECK(next.kind == action::List);
         CHECK(next.afterKey == "a/2");
         CHECK(next.delay == mirror_follower::initialRetryDelay);
-        follower.onListing({.items = {item("a/3", "z", 3)}, .hasMore = false, .revision = 90}, now);
+        follower.onListing({.items = {item("a/3", "z", 3)}, .hasMore = false, .revision = 90},
+                           "a/2", now);
         CHECK(follower.mirror().items().size() == 3);
         CHECK(follower.next(now, false).revision == 5);
         follower.onChanges(
@@ -331,7 +333,7 @@
         CHECK(follower.onChanges({.changes = {}, .revision = 14}, step.revision, time).empty());
         REQUIRE(follower.next(time, true).kind == action::List);
         const auto changes
-            = follower.onListing({.items = {item("a/1", "x", 3)}, .revision = 15}, time);
+            = follower.onListing({.items = {item("a/1", "x", 3)}, .revision = 15}, {}, time);
         REQUIRE(changes.size() == 1);
         CHECK(changes[0].key == "a/odd");
         CHECK_FALSE(changes[0].value);
@@ -373,10 +375,32 @@
     }
 }
 
+TEST_CASE("an update that makes a listing needless while a page of it is read", "[replication]")
+{
+    const std::string reader = vmOfRank(0);
+    mirror_follower follower = followerOf(vmOfRank(1));
+    follower.onListing({.items = {item("a/1", "x", 3), item("a/2", "y", 4)}, .revision = 9}, {},
+                       now);
+    follower.onHistoryLost(now);
+    follower.onListing({.items = {item("a/1", "x", 3)}, .hasMore = true, .revision = 10}, {}, now);
+    const follower_step step = follower.next(now, true);
+    REQUIRE(step.afterKey == "a/1");
+    follower.onUpdate(updateOf(reader, 9, 12), reader, now);
+
+    SECTION("leaves the keys of the earlier pages, when the last page arrives, as they are")
+    {
+        const auto changes = follower.onListing({.items = {item("a/2", "y", 4)}, .revision = 12},
+                                                step.afterKey, now);
+        CHECK(changes.empty());
+        CHECK(follower.mirror().items().size() == 2);
+        CHECK_FALSE(follower.takeUpdate());
+    }
+}
+
 TEST_CASE("the router that reads for all", "[replication]")
 {
     mirror_follower follower = followerOf(vmOfRank(0));
-    follower.onListing({.items = {item("a/1", "x", 3)}, .revision = 9}, now);
+    follower.onListing({.items = {item("a/1", "x", 3)}, .revision = 9}, {}, now);
     REQUIRE(follower.next(now, true).kind == action::Watch);
     CHECK_FALSE(follower.takeUpdate());
 
@@ -401,7 +425,7 @@
     SECTION("sends the difference when the history was lost")
     {
         follower.onHistoryLost(now);
-        follower.onListing({.items = {item("a/2", "y", 30)}, .revision = 40}, now);
+        follower.onListing({.items = {item("a/2", "y", 30)}, .revision = 40}, {}, now);
         const auto update = follower.takeUpdate();
         REQUIRE(update);
         CHECK(update->isDifference);
