--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -3,10 +3,9 @@
 #include "apps/edge/edge_clock.h"
 #include "apps/edge/request_handler.h"
 #include "apps/edge/socket_options.h"
+#include "http/message/response_writer.h"
 #include "platform/request_dialect.h"
 
-#include <boost/asio/write.hpp>
-
 #include <cerrno>
 #include <chrono>
 #include <sys/socket.h>
@@ -19,7 +18,7 @@
 namespace {
 
 /** Bound of input buffered for pipelined requests while another request is served. */
-constexpr std::size_t maxPipelinedBytes = 65536;
+constexpr std::size_t maxPipelinedBytes = 16384;
 /** Extra time before an idle connection is closed, beyond the configured idle timeout. */
 constexpr absl::Duration idleSlack = absl::Milliseconds(300);
 /** Time for the caller to read the last answer before the connection is closed. */
@@ -45,6 +44,7 @@
     : m_context(context)
     , m_socket(std::move(socket))
     , m_timer(context.loop)
+    , m_output(context.node.answerMemory())
     , m_idleSince(edgeNow())
 {
 }
@@ -56,9 +56,9 @@
 
 void caller_connection::start()
 {
-    setConnectionOptions(m_socket);
+    setConnectionOptions(m_socket, answer_queue::maxStall);
     m_context.metrics.onConnection();
-    setTimer(limitsOf(m_context).idleTimeout + idleSlack);
+    setIdleTimer(edgeNow());
     read();
 }
 
@@ -105,7 +105,7 @@
 
 void caller_connection::process()
 {
-    if (m_isClosing || m_isClosed || m_input.empty())
+    if (m_isClosing || m_isClosed || m_input.empty() || m_output.isFull())
         return;
     const caller_limits limits = limitsOf(m_context);
     if (!m_reader) {
@@ -150,15 +150,21 @@
         reason.status = statusHeadTooLarge;
     if (fault == request_fault::BodyTooLarge)
         reason = {.status = statusBodyTooLarge, .code = result_code::BodyTooLarge};
-    rejectUnread(reason);
+    // The configuration may allow what the limits before it do not.
+    const bool isTooLarge = fault != request_fault::Malformed;
+    rejectUnread(isTooLarge && !m_context.node.routes()
+                     ? forwarding_node::missingConfigurationRejection()
+                     : reason);
 }
 
 void caller_connection::rejectUnread(const rejection &reason)
 {
     std::string requestId;
+    std::string method;
     if (m_reader && m_reader->isHeadComplete()) {
         const auto request = platform::describeRequest(m_reader->head());
         requestId = request ? request->id : std::string();
+        method = m_reader->head().method;
     }
     m_context.log.line("request_unread")
         .text("request", requestId)
@@ -166,9 +172,8 @@
         .number("code", static_cast<int>(reason.code))
         .number("heldBytes", static_cast<std::int64_t>(m_context.heldBytes))
         .number("ageMs", absl::ToInt64Milliseconds(edgeNow() - m_firstByteAt));
-    const std::string text = platform::rejectionBody(reason);
-    send(toBytes(platform::rejectionHead(reason, requestId), {.length = text.size(), .close = true})
-         + text);
+    send(response_writer(method).whole(platform::rejectionHead(reason, requestId),
+                                       platform::rejectionBody(reason), true));
     finishAnswer(true);
 }
 
@@ -192,13 +197,14 @@
     }
     m_keepAlive = m_reader->head().keepAlive;
     m_timer.cancel();
-    m_context.metrics.onRequest(m_reader->body().size());
+    const std::size_t bodyBytes = m_reader->body().size();
+    m_context.metrics.onRequest(bodyBytes);
     m_handler = std::make_shared<request_handler>(
-        m_context, weak_from_this(), m_reader->head(), m_reader->body(),
+        m_context, weak_from_this(), m_reader->head(), m_reader->takeBody(),
         request_arrival {.firstByteAt = m_firstByteAt,
                          .quietTime = m_firstByteAt - m_idleSince,
                          .ordinal = ++m_requestCount,
-                         .bodyBytes = m_reader->body().size()});
+                         .bodyBytes = bodyBytes});
     m_reader.reset();
     const auto handler = m_handler;
     handler->start();
@@ -213,50 +219,63 @@
 {
     if (m_isClosed)
         return;
-    m_pending += bytes;
+    m_output.add(bytes, edgeNow());
     write();
 }
 
 void caller_connection::write()
 {
-    if (!m_writing.empty() || m_isClosed)
+    if (m_isWriting || m_isClosed)
         return;
-    if (m_pending.empty()) {
+    if (m_output.isEmpty()) {
         if (m_isClosing)
             beginLingeringClose();
         return;
     }
-    m_writing = std::exchange(m_pending, {});
-    const auto self = shared_from_this();
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_writing),
-                             [self](const error_code &error, std::size_t) {
-                                 if (self->m_isClosed)
-                                     return;
-                                 self->m_writing.clear();
-                                 if (error) {
-                                     self->onEnd();
-                                     return;
-                                 }
-                                 if (self->m_onDrained)
-                                     self->m_onDrained();
-                                 self->write();
-                             });
+    m_isWriting = true;
+    const std::string_view bytes = m_output.next();
+    m_socket.async_write_some(
+        boost::asio::buffer(bytes.data(), bytes.size()),
+        [self = shared_from_this()](const error_code &error, std::size_t count) {
+            self->m_isWriting = false;
+            if (self->m_isClosed)
+                return;
+            if (error)
+                self->onEnd();
+            else
+                self->onWritten(count);
+        });
+}
+
+void caller_connection::onWritten(std::size_t count)
+{
+    const bool wasFull = m_output.isFull();
+    m_output.onWritten(count, edgeNow());
+    if (m_output.isEmpty() && !m_handler)
+        m_idleSince = edgeNow();
+    if (m_onDrained && !m_output.isFull())
+        m_onDrained();
+    // Requests that arrived meanwhile wait for their answers to find room.
+    if (wasFull && !m_output.isFull() && !m_handler)
+        process();
+    write();
 }
 
 void caller_connection::finishAnswer(bool close)
 {
     const auto self = shared_from_this();
+    const absl::Time now = edgeNow();
     m_handler.reset();
-    m_idleSince = edgeNow();
+    m_idleSince = now;
     m_onDrained = nullptr;
     releaseHeldBytes();
     if (close) {
         m_isClosing = true;
-        setTimer(lingerTime);
+        setIdleTimer(now);
         write();
         return;
     }
-    setTimer(limitsOf(m_context).idleTimeout + idleSlack);
+    setIdleTimer(now);
     boost::asio::post(m_context.loop, [self] {
         if (!self->m_handler)
             self->process();
@@ -294,7 +313,17 @@
 
 bool caller_connection::closeIfIdle()
 {
-    if (m_isClosing || !isIdle() || m_reader)
+    const bool hasRequest = m_handler || m_reader || !m_input.empty();
+    if (m_isClosing || hasRequest || !m_output.isEmpty())
+        return false;
+    return closeUnlessInputArrived();
+}
+
+bool caller_connection::closeUnlessInputArrived()
+{
+    // A request that has arrived would be reset unread.
+    error_code error;
+    if (m_socket.available(error) > 0 && !error)
         return false;
     close();
     return true;
@@ -309,6 +338,8 @@
     m_timer.cancel();
     m_onDrained = nullptr;
     releaseHeldBytes();
+    if (!m_isWriting)
+        m_output.clear();
     error_code ignored;
     m_socket.close(ignored);
     const auto onClosed = std::exchange(m_onClosed, nullptr);
@@ -327,15 +358,36 @@
     });
 }
 
+absl::Time caller_connection::idleEnd() const
+{
+    return m_idleSince + (m_isClosing ? lingerTime : limitsOf(m_context).idleTimeout + idleSlack);
+}
+
+void caller_connection::setIdleTimer(absl::Time now)
+{
+    const absl::Time end = m_output.isEmpty() ? idleEnd() : m_output.stalledAt();
+    setTimer(end - now);
+}
+
 void caller_connection::onTimer()
 {
     if (m_handler)
         return;
-    if (m_isClosing || !m_reader) {
-        close();
+    const absl::Time now = edgeNow();
+    const bool isHeadDue = m_reader && !m_isClosing;
+    const bool isTaking = !m_output.isEmpty() && now < m_output.stalledAt();
+    const bool isIdleAllowed = m_output.isEmpty() && !isHeadDue && now < idleEnd();
+    if (isTaking || isIdleAllowed) {
+        setIdleTimer(now);
         return;
     }
-    rejectUnread({.status = statusTimeout, .code = result_code::MalformedRequest});
+    if (!m_output.isEmpty())
+        m_context.log.line("caller_stalled")
+            .number("pendingBytes", static_cast<std::int64_t>(m_output.size()));
+    if (!m_output.isEmpty() || !isHeadDue)
+        close();
+    else
+        rejectUnread({.status = statusTimeout, .code = result_code::MalformedRequest});
 }
 
 } // namespace quetzal
--- a/apps/edge/caller_connection.h
+++ b/apps/edge/caller_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "apps/edge/edge_context.h"
+#include "forwarding/caller/answer_queue.h"
 #include "http/message/request_reader.h"
 
 #include <absl/time/time.h>
@@ -38,16 +39,17 @@
     void endForShutdown();
     /** Closes the connection if no request is in progress; returns true if it did. */
     bool closeIfIdle();
-    /** Returns when the connection became idle; infinite future while it has a request. */
+    /**
+     * Returns when the connection became idle; infinite future while it has a request, or an answer
+     * that the caller has not taken yet.
+     */
     absl::Time idleSince() const
     {
-        return m_handler || m_reader ? absl::InfiniteFuture() : m_idleSince;
+        return m_handler || m_reader || !m_output.isEmpty() ? absl::InfiniteFuture() : m_idleSince;
     }
-    /** True if no request is being served and no unparsed input is buffered. */
-    bool isIdle() const { return !m_handler && m_input.empty(); }
-    /** Returns the number of bytes not yet written to the socket. */
-    std::size_t pendingBytes() const { return m_writing.size() + m_pending.size(); }
-    /** Sets the callback invoked after each completed write, when fewer bytes are pending. */
+    /** True if the caller takes its answer so slowly that nothing is to be added. */
+    bool isOutputFull() const { return m_output.isFull(); }
+    /** Sets the callback invoked when the caller took bytes and more may be added. */
     void setOnDrained(std::function<void()> onDrained) { m_onDrained = std::move(onDrained); }
     /** Sets the callback that is invoked once, when the connection closes. */
     void setOnClosed(std::function<void()> onClosed) { m_onClosed = std::move(onClosed); }
@@ -58,6 +60,8 @@
     void read();
     void onBytes(std::size_t count);
     void onEnd();
+    /** Closes the connection if nothing arrived that was not read yet; returns true if it did. */
+    bool closeUnlessInputArrived();
     void process();
     void onFault(request_fault fault);
     /** Rejects a request that was not received completely, and closes the connection. */
@@ -65,9 +69,14 @@
     void startRequest();
     bool hasCallerDisconnected();
     void write();
+    void onWritten(std::size_t count);
     void beginLingeringClose();
     void close();
     void setTimer(absl::Duration after);
+    /** Returns when a connection without an answer to take is closed. */
+    absl::Time idleEnd() const;
+    /** Sets the timer for a connection that waits for its caller to read or to send. */
+    void setIdleTimer(absl::Time now);
     void onTimer();
     void releaseHeldBytes();
 
@@ -78,8 +87,7 @@
     std::string m_input;
     std::unique_ptr<request_reader> m_reader;
     std::shared_ptr<request_handler> m_handler;
-    std::string m_pending;
-    std::string m_writing;
+    answer_queue m_output;
     std::function<void()> m_onDrained;
     std::function<void()> m_onClosed;
     absl::Time m_idleSince;
@@ -88,6 +96,7 @@
     std::size_t m_heldBytes = 0;
     bool m_keepAlive = true;
     bool m_isReading = false;
+    bool m_isWriting = false;
     bool m_isClosing = false;
     bool m_isClosed = false;
     bool m_continueSent = false;
--- a/apps/edge/request_handler.cpp
+++ b/apps/edge/request_handler.cpp
@@ -13,8 +13,6 @@
 
 namespace {
 
-/** Bytes pending for a slow caller above which reading from the target is paused. */
-constexpr std::size_t maxPendingBytes = 65536;
 /**
  * A request that must not run more than once uses only a recently used connection, because the
  * target may have closed one that was idle for longer.
@@ -32,7 +30,8 @@
     , m_log(context, arrival)
     , m_timer(context.loop)
     , m_head(std::move(head))
-    , m_body(std::move(body))
+    , m_body(std::make_shared<const std::string>(std::move(body)))
+    , m_writer(m_head.method)
     , m_arrivedAt(arrival.firstByteAt)
 {
 }
@@ -102,10 +101,12 @@
         performActions(m_lifecycle->onNoConnection(now));
         return;
     }
-    m_connection->start(requestBytes(action), m_head.method == "HEAD", callbacks());
+    m_connection->start(
+        {.head = headBytes(action), .body = m_body, .isHead = m_head.method == "HEAD"},
+        callbacks());
 }
 
-std::string request_handler::requestBytes(const send_request &action) const
+std::string request_handler::headBytes(const send_request &action) const
 {
     const request_head head
         = platform::requestForTarget(m_head,
@@ -113,9 +114,9 @@
                                       .workspace = m_lifecycle->admitted()->workspace,
                                       .timeLeft = action.timeLeft,
                                       .lastEventId = action.lastEventId});
-    const bool hasBody = !m_body.empty() || m_head.fields.find("Content-Length") != nullptr
+    const bool hasBody = !m_body->empty() || m_head.fields.find("Content-Length") != nullptr
         || m_head.fields.find("Transfer-Encoding") != nullptr;
-    return toBytes(head, hasBody ? std::optional(m_body.size()) : std::nullopt) + m_body;
+    return toBytes(head, hasBody ? std::optional(m_body->size()) : std::nullopt);
 }
 
 exchange_callbacks request_handler::callbacks()
@@ -178,8 +179,7 @@
     const auto caller = m_caller.lock();
     if (!caller)
         return;
-    caller->send(toBytes(platform::responseForCaller(m_answerHead),
-                         {.framing = body_framing::Chunked, .close = !caller->canStayOpen()}));
+    caller->send(m_writer.begin(platform::responseForCaller(m_answerHead), !caller->canStayOpen()));
     const std::weak_ptr<request_handler> weak = weak_from_this();
     caller->setOnDrained([weak] {
         const auto self = weak.lock();
@@ -193,10 +193,10 @@
     const auto caller = m_caller.lock();
     if (!caller)
         return;
-    caller->send(toChunk(action.text));
+    caller->send(m_writer.part(action.text));
     if (!m_connection)
         return;
-    if (caller->pendingBytes() > maxPendingBytes)
+    if (caller->isOutputFull())
         m_connection->setPaused(true);
     if (m_connection->hasReadAll())
         m_context.pacer.hold(m_connection);
@@ -208,7 +208,7 @@
     if (!caller)
         return;
     const bool close = !caller->canStayOpen();
-    caller->send(std::string(lastChunk));
+    caller->send(m_writer.end());
     caller->finishAnswer(close);
 }
 
@@ -218,9 +218,11 @@
     if (!caller)
         return;
     const bool close = !caller->canStayOpen();
-    caller->send(toBytes(platform::responseForCaller(m_answerHead),
-                         {.length = action.body.size(), .close = close})
-                 + action.body);
+    response_head head = platform::responseForCaller(m_answerHead);
+    const std::string *length = m_answerHead.fields.find("Content-Length");
+    if (m_head.method == "HEAD" && length != nullptr)
+        head.fields.add("Content-Length", *length);
+    caller->send(m_writer.whole(head, action.body, close));
     caller->finishAnswer(close);
 }
 
@@ -230,11 +232,9 @@
     if (!caller)
         return;
     const bool close = action.isNotExecuted || !caller->canStayOpen();
-    const std::string text = platform::rejectionBody(action.reason);
     const std::string requestId = m_lifecycle ? m_lifecycle->description().id : std::string();
-    caller->send(toBytes(platform::rejectionHead(action.reason, requestId),
-                         {.length = text.size(), .close = close})
-                 + text);
+    caller->send(m_writer.whole(platform::rejectionHead(action.reason, requestId),
+                                platform::rejectionBody(action.reason), close));
     caller->finishAnswer(close);
 }
 
--- a/apps/edge/request_handler.h
+++ b/apps/edge/request_handler.h
@@ -4,7 +4,7 @@
 #include "apps/edge/request_log.h"
 #include "apps/edge/target_connection.h"
 #include "forwarding/lifecycle/request_lifecycle.h"
-#include "http/message/message_head.h"
+#include "http/message/response_writer.h"
 
 #include <absl/time/time.h>
 #include <boost/asio/steady_timer.hpp>
@@ -46,7 +46,8 @@
     void performAction(const record_attempt_failed &action);
     void performAction(const record_request_ended &action);
 
-    std::string requestBytes(const send_request &action) const;
+    /** Returns the head of the request as it is sent to a target. */
+    std::string headBytes(const send_request &action) const;
     exchange_callbacks callbacks();
     answer_disposition onHead(const response_head &head);
 
@@ -55,7 +56,9 @@
     request_log m_log;
     boost::asio::steady_timer m_timer;
     request_head m_head;
-    std::string m_body;
+    /** Shared with the connection that writes it. */
+    std::shared_ptr<const std::string> m_body;
+    response_writer m_writer;
     absl::Time m_arrivedAt;
     /** Not set if the request head is invalid. */
     std::optional<request_lifecycle> m_lifecycle;
--- a/apps/edge/socket_options.cpp
+++ b/apps/edge/socket_options.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-/** Sent bytes unacknowledged for this long break the connection. */
-constexpr int unacknowledgedMs = 1500;
 constexpr int probeAfterSeconds = 1;
 constexpr int probeIntervalSeconds = 1;
 constexpr int maxUnansweredProbes = 2;
@@ -28,11 +26,12 @@
     return {host, address.port};
 }
 
-void setConnectionOptions(boost::asio::ip::tcp::socket &socket)
+void setConnectionOptions(boost::asio::ip::tcp::socket &socket, absl::Duration maxUnacknowledged)
 {
     const int handle = socket.native_handle();
     setOption(handle, IPPROTO_TCP, TCP_NODELAY, 1);
-    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT, unacknowledgedMs);
+    setOption(handle, IPPROTO_TCP, TCP_USER_TIMEOUT,
+              static_cast<int>(absl::ToInt64Milliseconds(maxUnacknowledged)));
     setOption(handle, SOL_SOCKET, SO_KEEPALIVE, 1);
     setOption(handle, IPPROTO_TCP, TCP_KEEPIDLE, probeAfterSeconds);
     setOption(handle, IPPROTO_TCP, TCP_KEEPINTVL, probeIntervalSeconds);
--- a/apps/edge/status_connection.cpp
+++ b/apps/edge/status_connection.cpp
@@ -1,6 +1,7 @@
 #include "apps/edge/status_connection.h"
 
 #include "apps/edge/socket_options.h"
+#include "http/message/response_writer.h"
 
 #include <boost/asio/write.hpp>
 
@@ -71,7 +72,7 @@
     m_keepAlive = m_reader.head().keepAlive;
     response_head head {.status = page.status};
     head.fields.add("Content-Type", "text/plain; version=0.0.4");
-    m_output = toBytes(head, {.length = page.body.size(), .close = !m_keepAlive}) + page.body;
+    m_output = response_writer(m_reader.head().method).whole(head, page.body, !m_keepAlive);
     m_reader = request_reader(statusLimits);
     write();
 }
--- a/apps/edge/target_connection.cpp
+++ b/apps/edge/target_connection.cpp
@@ -29,18 +29,19 @@
 {
 }
 
-void target_connection::start(std::string request, bool isHead, exchange_callbacks callbacks)
+void target_connection::start(target_request request, exchange_callbacks callbacks)
 {
     m_request = std::move(request);
     m_callbacks = std::move(callbacks);
-    m_reader = response_reader(isHead);
+    m_reader = response_reader(m_request.isHead);
     m_input.clear();
-    m_isHead = isHead;
     ++m_exchangeCount;
     m_isBusy = true;
     m_isSent = false;
     m_isHeadAccepted = false;
     m_isSkipping = false;
+    m_isPaused = false;
+    m_isHeld = false;
     m_skipped = 0;
     m_skippedBytes = 0;
     if (m_isOpen)
@@ -76,12 +77,15 @@
     const auto self = shared_from_this();
     m_isSent = true;
     m_isWriting = true;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_request),
-                             [self](const error_code &error, std::size_t) {
-                                 self->m_isWriting = false;
-                                 if (error && !self->m_isClosed && !self->m_isReading)
-                                     self->fail("write_failed");
-                             });
+    const std::array<boost::asio::const_buffer, 2> bytes {boost::asio::buffer(m_request.head),
+                                                          boost::asio::buffer(*m_request.body)};
+    boost::asio::async_write(m_socket, bytes, [self](const error_code &error, std::size_t) {
+        self->m_isWriting = false;
+        self->m_request.head = {};
+        self->m_request.body.reset();
+        if (error && !self->m_isClosed && !self->m_isReading)
+            self->fail("write_failed");
+    });
     read();
 }
 
@@ -154,7 +158,7 @@
             return;
         }
         m_isSkipping = false;
-        m_reader = response_reader(m_isHead);
+        m_reader = response_reader(m_request.isHead);
         if (m_input.empty())
             return;
     }
@@ -165,6 +169,7 @@
     m_keepAlive = m_reader.head().keepAlive && !hasExtraBytes && !m_isWriting;
     m_isBusy = false;
     m_isHeld = false;
+    m_isPaused = false;
     const exchange_callbacks callbacks = std::exchange(m_callbacks, {});
     if (!m_keepAlive)
         close();
--- a/apps/edge/target_connection.h
+++ b/apps/edge/target_connection.h
@@ -27,6 +27,15 @@
     std::function<void(const exchange_failure &)> onFailed;
 };
 
+/** The bytes of a request to a target. */
+struct target_request
+{
+    std::string head;
+    std::shared_ptr<const std::string> body;
+    /** True for HEAD, whose answer has no body. */
+    bool isHead = false;
+};
+
 /** One connection to a target, used for one exchange at a time. */
 class target_connection : public std::enable_shared_from_this<target_connection>
 {
@@ -34,7 +43,7 @@
     target_connection(boost::asio::io_context &loop, network_address address);
 
     /** Connects if necessary, sends the request and reads its answer. */
-    void start(std::string request, bool isHead, exchange_callbacks callbacks);
+    void start(target_request request, exchange_callbacks callbacks);
     /** Ends the exchange without invoking its callbacks, and closes the connection. */
     void cancel();
     /** Pauses or resumes reading, for flow control towards a slow caller. */
@@ -68,7 +77,8 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     network_address m_address;
-    std::string m_request;
+    /** Kept until it is written. */
+    target_request m_request;
     exchange_callbacks m_callbacks;
     response_reader m_reader;
     std::array<char, 8192> m_buffer {};
@@ -86,7 +96,6 @@
     bool m_isClosed = false;
     bool m_isHeadAccepted = false;
     bool m_isSkipping = false;
-    bool m_isHead = false;
     bool m_keepAlive = true;
     std::size_t m_lastReadBytes = 0;
     int m_exchangeCount = 0;
--- a/modules/http/message/message_head.cpp
+++ b/modules/http/message/message_head.cpp
@@ -61,8 +61,8 @@
     appendFields(bytes, head.fields);
     if (framing.framing == body_framing::Chunked)
         bytes += "Transfer-Encoding: chunked\r\n";
-    else
-        append(bytes, "Content-Length: ", std::to_string(framing.length), "\r\n");
+    else if (framing.length)
+        append(bytes, "Content-Length: ", std::to_string(*framing.length), "\r\n");
     if (framing.close)
         bytes += "Connection: close\r\n";
     bytes += "\r\n";
--- a/modules/http/message/message_head.h
+++ b/modules/http/message/message_head.h
@@ -53,8 +53,11 @@
 struct response_framing
 {
     body_framing framing = body_framing::Length;
-    /** Body length in bytes; used with body_framing::Length only. */
-    std::size_t length = 0;
+    /**
+     * Body length in bytes, used with body_framing::Length only; nothing if the head states it, or
+     * if the response has no body.
+     */
+    std::optional<std::size_t> length = 0;
     /** Adds "Connection: close": the connection is closed after this response. */
     bool close = false;
 };
--- a/modules/http/message/request_reader.cpp
+++ b/modules/http/message/request_reader.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace quetzal {
 
@@ -156,4 +157,9 @@
     return m_parser->body;
 }
 
+std::string request_reader::takeBody()
+{
+    return std::exchange(m_parser->body, {});
+}
+
 } // namespace quetzal
--- a/modules/http/message/request_reader.h
+++ b/modules/http/message/request_reader.h
@@ -57,6 +57,8 @@
     const request_head &head() const;
     /** Returns the part of the body that has been parsed so far. */
     const std::string &body() const;
+    /** Returns and removes the body of a complete request. */
+    std::string takeBody();
 
 private:
     class parser;
--- a/tests/edge/edge_fixture.h
+++ b/tests/edge/edge_fixture.h
@@ -11,6 +11,7 @@
 #include <chrono>
 #include <functional>
 #include <mutex>
+#include <netinet/tcp.h>
 #include <string>
 #include <string_view>
 #include <sys/socket.h>
@@ -56,12 +57,19 @@
 class caller
 {
 public:
-    /** A small receive buffer, in bytes, makes the kernel hold few unread bytes; 0 for its own. */
+    /**
+     * A small receive buffer, in bytes, makes the kernel hold few unread bytes, with segments as on
+     * an ordinary link; 0 for its own.
+     */
     explicit caller(const network_address &address, int receiveBuffer = 0)
         : m_socket(m_loop, tcp::v4())
     {
-        if (receiveBuffer > 0)
+        if (receiveBuffer > 0) {
+            constexpr int segmentBytes = 1448;
             m_socket.set_option(boost::asio::socket_base::receive_buffer_size(receiveBuffer));
+            setsockopt(m_socket.native_handle(), IPPROTO_TCP, TCP_MAXSEG, &segmentBytes,
+                       sizeof segmentBytes);
+        }
         m_socket.connect({boost::asio::ip::make_address_v4(address.host), address.port});
         timeval limit {.tv_sec = testTimeout.count(), .tv_usec = 0};
         setsockopt(m_socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
--- a/tests/edge_shutdown/edge_shutdown_test.cpp
+++ b/tests/edge_shutdown/edge_shutdown_test.cpp
@@ -375,3 +375,15 @@
     CHECK(isRejection(late.readAll()));
     CHECK(test.runs("late") == 0);
 }
+
+TEST_CASE("a caller that reads slowly receives its whole answer while the process stops", "[edge]")
+{
+    constexpr int receiveBuffer = 16384;
+    constexpr std::size_t answerBytes = 900000;
+    shutdown_fixture fixture("127.9.7.18", absl::Seconds(5));
+    const auto slow = fixture.open("/once/x", "large", "large", receiveBuffer);
+    REQUIRE(eventually([&] { return fixture.router->metricOf("held_answer_bytes") > 0; }));
+    fixture.router->beginStop();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+    CHECK(slow->readAll().size() > answerBytes);
+}
