--- a/apps/edge/edge_clock.h
+++ b/apps/edge/edge_clock.h
@@ -10,7 +10,8 @@
 absl::Time edgeNow();
 
 /**
- * Returns the wall-clock time in Unix milliseconds, for logs only.
+ * Returns the wall-clock time in Unix milliseconds, for logs and for times in the store. It may
+ * differ between VMs, and jump.
  *
  * absl::Now() is not used: it extrapolates from the processor's cycle counter and may be off by a
  * second if the process is not scheduled continuously.
--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -14,12 +14,17 @@
 
 namespace {
 
-/** Prefix of the records of the routers. */
+/** Prefix of all records that the routers write, and of those of the routers themselves. */
+constexpr char ownRecordPrefix[] = "quetzalreach/";
 constexpr char memberPrefix[] = "quetzalreach/members/";
-/** The positions of the prefixes in digests and updates. */
+/**
+ * The positions of the prefixes in digests and updates. Position 2 is that of memberPrefix, which
+ * earlier versions mirror in place of ownRecordPrefix.
+ */
 constexpr std::size_t configurationPosition = 0;
 constexpr std::size_t targetPosition = 1;
-constexpr std::size_t memberPosition = 2;
+constexpr std::size_t ownRecordPosition = 3;
+constexpr std::size_t positionCount = 4;
 constexpr int statusOk = 200;
 constexpr int statusNoContent = 204;
 constexpr int statusNotFound = 404;
@@ -40,8 +45,9 @@
                       configurationCallbacks())
     , m_targets(context.loop, context.log, m_options.store,
                 followerOptions(platform::targetPrefix, targetPosition), targetCallbacks())
-    , m_members(context.loop, context.log, m_options.store,
-                followerOptions(memberPrefix, memberPosition), memberCallbacks())
+    , m_ownRecords(context.loop, context.log, m_options.store,
+                   followerOptions(ownRecordPrefix, ownRecordPosition), ownRecordCallbacks())
+    , m_partRecords(context.node, context.log)
     , m_writer(std::make_shared<http_client>(context.loop, m_options.store))
 {
 }
@@ -54,7 +60,7 @@
             .position = position,
             .self = m_options.vm,
             .startedAt = edgeNow(),
-            .listsAtOnce = position == memberPosition,
+            .listsAtOnce = position == ownRecordPosition,
             .maxAge = maxAge};
 }
 
@@ -89,14 +95,14 @@
     return callbacks;
 }
 
-mirror_callbacks store_feed::memberCallbacks()
+mirror_callbacks store_feed::ownRecordCallbacks()
 {
     mirror_callbacks callbacks = commonCallbacks();
-    callbacks.onChanges = [this](const auto &, bool) {
-        onMembers();
+    callbacks.onChanges = [this](const auto &changes, bool) {
+        onOwnRecords(changes);
     };
     callbacks.onCurrentChanged = [this](bool isCurrent) {
-        onMembersCurrentChanged(isCurrent);
+        onOwnRecordsCurrentChanged(isCurrent);
     };
     return callbacks;
 }
@@ -104,10 +110,12 @@
 void store_feed::start()
 {
     m_peers.setLastChanges([this] {
-        std::vector<std::int64_t> lastChangeRevisions;
-        for (const mirror_session *session : sessions())
-            lastChangeRevisions.push_back(session->follower().mirror().lastChangeRevision());
-        return lastChangeRevisions;
+        std::vector<std::int64_t> revisions(positionCount, 0);
+        for (const mirror_session *session : sessions()) {
+            const mirror_follower &follower = session->follower();
+            revisions[follower.position()] = follower.mirror().lastChangeRevision();
+        }
+        return revisions;
     });
     m_peers.setUpdateCallback(
         [this](const mirror_update &update, const std::string &host) { onUpdate(update, host); });
@@ -117,8 +125,10 @@
 
 void store_feed::onUpdate(const mirror_update &update, const std::string &host)
 {
-    if (update.prefix < sessions().size())
-        sessions()[update.prefix]->onUpdate(update, host, edgeNow());
+    for (mirror_session *session : sessions()) {
+        if (session->follower().position() == update.prefix)
+            session->onUpdate(update, host, edgeNow());
+    }
 }
 
 bool store_feed::isComplete() const
@@ -205,12 +215,25 @@
         m_context.node.directory().onListUnavailable(edgeNow());
 }
 
+void store_feed::onOwnRecords(const std::vector<key_change> &changes)
+{
+    m_partRecords.onChanges(changes, edgeNow());
+    const bool haveMembersChanged
+        = std::any_of(changes.begin(), changes.end(), [](const key_change &change) {
+              return change.key.starts_with(memberPrefix);
+          });
+    if (haveMembersChanged)
+        onMembers();
+}
+
 void store_feed::onMembers()
 {
     const absl::Time now = edgeNow();
     const std::string_view prefix = memberPrefix;
     std::vector<member> records;
-    for (const stored_item &item : m_members.follower().mirror().items()) {
+    for (const stored_item &item : m_ownRecords.follower().mirror().items()) {
+        if (!item.key.starts_with(prefix))
+            continue;
         std::string vm = item.key.substr(prefix.size());
         if (!isIpv4HostAddress(item.value)) {
             m_context.log.line("router_unreadable")
@@ -224,7 +247,7 @@
     updateRouters(now);
 }
 
-void store_feed::onMembersCurrentChanged(bool isCurrent)
+void store_feed::onOwnRecordsCurrentChanged(bool isCurrent)
 {
     if (!isCurrent)
         return;
@@ -259,19 +282,18 @@
 void store_feed::maintain(absl::Time now)
 {
     const fleet_view &fleet = m_context.node.fleet();
-    std::size_t prefix = 0;
     for (mirror_session *session : sessions()) {
-        session->onPeerRevision(fleet.lastChangeRevision(prefix, now), now);
+        const std::size_t position = session->follower().position();
+        session->onPeerRevision(fleet.lastChangeRevision(position, now), now);
         session->update(now);
-        ++prefix;
     }
     m_context.node.directory().onListConfirmed(m_targets.follower().confirmedAt());
-    maintainMembership(now);
+    maintainRecords(now);
 }
 
-void store_feed::maintainMembership(absl::Time now)
+void store_feed::maintainRecords(absl::Time now)
 {
-    if (m_isWriting || !m_members.follower().isCurrent(now))
+    if (m_isWriting || !m_ownRecords.follower().isCurrent(now))
         return;
     updateRouters(now);
     if (now < m_writeAllowedAt)
@@ -281,8 +303,12 @@
               [this, now] { m_recordRenewedAt = now; });
         return;
     }
+    if (const auto call = m_partRecords.nextCall(now)) {
+        write(*call, [] {});
+        return;
+    }
     const std::vector<member> expired = m_memberTable.expired(now);
-    if (expired.empty() || !m_members.follower().isReader(now))
+    if (expired.empty() || !m_ownRecords.follower().isReader(now))
         return;
     m_context.log.line("router_forgotten").text("router", expired.front().vm);
     write(platform::removeCall(memberPrefix + expired.front().vm, expired.front().revision), [] {});
--- a/apps/edge/store_feed.h
+++ b/apps/edge/store_feed.h
@@ -3,6 +3,7 @@
 #include "apps/edge/edge_context.h"
 #include "apps/edge/http_client.h"
 #include "apps/edge/mirror_session.h"
+#include "apps/edge/part_records.h"
 #include "apps/edge/peer_exchange.h"
 #include "apps/edge/status_connection.h"
 #include "membership/table/member_table.h"
@@ -33,7 +34,8 @@
 
 /**
  * Keeps configuration, targets and routers of the forwarding_node up to date from the key-value
- * service, or from other routers' copies of it, and registers this router in the service.
+ * service, or from other routers' copies of it, registers this router in the service, and keeps the
+ * records there by which the routers remember prompt parts.
  */
 class store_feed
 {
@@ -55,28 +57,29 @@
     void logTarget(const key_change &change, const std::optional<target_record> &record);
     void onTargetsCurrentChanged(bool isCurrent);
     void onUpdate(const mirror_update &update, const std::string &host);
-    void maintainMembership(absl::Time now);
+    /** Makes the next write of this router to the store, if one is due. */
+    void maintainRecords(absl::Time now);
+    void onOwnRecords(const std::vector<key_change> &changes);
     void onMembers();
-    void onMembersCurrentChanged(bool isCurrent);
+    void onOwnRecordsCurrentChanged(bool isCurrent);
     void updateRouters(absl::Time now);
-    /** Returns the options of the session at a position in sessions(). */
+    /** Returns the options of the session of a prefix at this position in digests and updates. */
     follower_options followerOptions(std::string prefix, std::size_t position) const;
     /** Returns the callbacks that all sessions have in common. */
     mirror_callbacks commonCallbacks();
     mirror_callbacks configurationCallbacks();
     mirror_callbacks targetCallbacks();
-    mirror_callbacks memberCallbacks();
+    mirror_callbacks ownRecordCallbacks();
     /** Starts a write, one at a time; onDone is called once the store has accepted it. */
     void write(const platform::store_call &call, std::function<void()> onDone);
 
-    /** Returns all sessions; the order defines the prefix index in digests. */
     std::array<mirror_session *, 3> sessions()
     {
-        return {&m_configuration, &m_targets, &m_members};
+        return {&m_configuration, &m_targets, &m_ownRecords};
     }
     std::array<const mirror_session *, 3> sessions() const
     {
-        return {&m_configuration, &m_targets, &m_members};
+        return {&m_configuration, &m_targets, &m_ownRecords};
     }
 
     edge_context &m_context;
@@ -84,7 +87,9 @@
     store_feed_options m_options;
     mirror_session m_configuration;
     mirror_session m_targets;
-    mirror_session m_members;
+    /** The records that the routers write: of themselves, and of prompt parts. */
+    mirror_session m_ownRecords;
+    part_records m_partRecords;
     transfer_limiter m_copyLimiter;
     std::shared_ptr<http_client> m_writer;
     bool m_isWriting = false;
--- a/modules/forwarding/node/forwarding_node.h
+++ b/modules/forwarding/node/forwarding_node.h
@@ -17,6 +17,7 @@
 #include "forwarding/shutdown/shutdown_schedule.h"
 #include "placement/cache/prompt_cache_view.h"
 #include "placement/load/target_load.h"
+#include "quarantine/archive/part_archive.h"
 #include "quarantine/decision/part_quarantine.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -147,6 +148,15 @@
      * Must be called at each interval at which a digest may be sent.
      */
     std::optional<quarantine_digest> makeQuarantineDigest(absl::Time now);
+    /** Applies a record of a prompt part that the key-value service holds. */
+    void onPartRecord(const held_part &record, std::int64_t revision, absl::Time now);
+    /** Must be called when the service holds no record of the part any more. */
+    void onPartRecordRemoved(part_id part) { m_partArchive.onRecordRemoved(part); }
+    /**
+     * Returns the write of a part's record that is this router's to make now, if there is one. Must
+     * be called periodically, with no such write in progress.
+     */
+    std::optional<archive_write> nextPartWrite(absl::Time now);
     /** Returns the changes of the held prompt parts since the last call, for logs. */
     std::vector<quarantine_event> takeQuarantineEvents() { return m_quarantine.takeEvents(); }
     /** Applies a digest that was received from another router. */
@@ -281,6 +291,7 @@
     absl::flat_hash_map<name_hash, std::string> m_targetOfHash;
     std::uint64_t m_digestSequence = 0;
     part_quarantine m_quarantine;
+    part_archive m_partArchive;
     byte_budget m_answerMemory;
 };
 
--- a/modules/forwarding/node/forwarding_node_quarantine.cpp
+++ b/modules/forwarding/node/forwarding_node_quarantine.cpp
@@ -18,6 +18,8 @@
 /** Held parts are told again so often that a router that starts hears of them at once. */
 constexpr absl::Duration minHeldRepeatInterval = absl::Milliseconds(500);
 constexpr absl::Duration heldRepeatIntervalPerPeer = absl::Milliseconds(50);
+/** Names the key-value service where logs name the router that told of a part. */
+constexpr char partRecordSource[] = "store";
 
 } // namespace
 
@@ -102,4 +104,18 @@
         .vm = m_options.routers.self, .madeAt = now, .news = *std::move(news)};
 }
 
+void forwarding_node::onPartRecord(const held_part &record, std::int64_t revision, absl::Time now)
+{
+    m_partArchive.onRecord(record, revision);
+    m_quarantine.onNews({.held = {record}}, partRecordSource, now);
+}
+
+std::optional<archive_write> forwarding_node::nextPartWrite(absl::Time now)
+{
+    if (m_options.routers.members.empty())
+        return std::nullopt;
+    return m_partArchive.next(
+        m_quarantine.partsToKeep(), [this](part_id part) { return turnToTry(part); }, now);
+}
+
 } // namespace quetzal
--- a/modules/quarantine/decision/part_quarantine.cpp
+++ b/modules/quarantine/decision/part_quarantine.cpp
@@ -300,6 +300,21 @@
     m_nextHeldNewsAt = now + repeatInterval;
 }
 
+std::vector<held_part> part_quarantine::partsToKeep() const
+{
+    std::vector<held_part> parts;
+    for (const auto &[id, held] : m_held)
+        parts.push_back(held);
+    for (const part_id id : m_losses.partsOfSeveralEnds()) {
+        const std::vector<target_end> ends = openEndsOf(id, false);
+        if (!m_held.contains(id) && isNearlyHeld(ends, m_losses.soundAt(id), m_limits))
+            parts.push_back({.part = id,
+                             .since = ends.back().at,
+                             .ends = mostTellingEnds(ends, maxEndsOfHeldPart, m_limits)});
+    }
+    return parts;
+}
+
 std::vector<quarantine_event> part_quarantine::takeEvents()
 {
     return std::exchange(m_events, {});
--- a/modules/quarantine/decision/part_quarantine.h
+++ b/modules/quarantine/decision/part_quarantine.h
@@ -81,6 +81,11 @@
     /** Returns and removes the events since the last call. */
     std::vector<quarantine_event> takeEvents();
     const absl::btree_map<part_id, held_part> &held() const { return m_held; }
+    /**
+     * Returns the parts that the routers must know again after all of them ended: those that are
+     * held, then those that one more end would make so. Their records are adopted like news.
+     */
+    std::vector<held_part> partsToKeep() const;
 
 private:
     /** The first report of the end of a target. */
--- a/modules/quarantine/decision/quarantine_rule.cpp
+++ b/modules/quarantine/decision/quarantine_rule.cpp
@@ -35,6 +35,19 @@
     return static_cast<int>(addresses.size());
 }
 
+/** Returns how many separate moments it takes to hold a part. @param ends not empty */
+int requiredMoments(std::span<const target_end> ends, absl::Time soundAt,
+                    const quarantine_limits &limits)
+{
+    const int addresses = addressCount(ends);
+    int required = addresses >= limits.manyTargets ? limits.momentsOfManyTargets : limits.moments;
+    if (ends.front().at - soundAt < limits.soundMemory)
+        required += limits.extraMomentsOfSoundPart;
+    if (addresses == 1)
+        required = std::max(required, limits.momentsAtOneAddress);
+    return required;
+}
+
 } // namespace
 
 std::vector<target_end> endsSince(std::span<const target_end> ends, absl::Time soundAt,
@@ -56,15 +69,16 @@
 
 bool mustHold(std::span<const target_end> ends, absl::Time soundAt, const quarantine_limits &limits)
 {
-    if (ends.empty())
-        return false;
-    const int addresses = addressCount(ends);
-    int required = addresses >= limits.manyTargets ? limits.momentsOfManyTargets : limits.moments;
-    if (ends.front().at - soundAt < limits.soundMemory)
-        required += limits.extraMomentsOfSoundPart;
-    if (addresses == 1)
-        required = std::max(required, limits.momentsAtOneAddress);
-    return momentCount(ends, limits) >= required;
+    return !ends.empty() && momentCount(ends, limits) >= requiredMoments(ends, soundAt, limits);
+}
+
+bool isNearlyHeld(std::span<const target_end> ends, absl::Time soundAt,
+                  const quarantine_limits &limits)
+{
+    constexpr int minMoments = 2;
+    const int moments = momentCount(ends, limits);
+    return moments >= minMoments && addressCount(ends) > 1
+        && moments + 1 >= requiredMoments(ends, soundAt, limits);
 }
 
 std::vector<target_end> mostTellingEnds(std::span<const target_end> ends, std::size_t maxCount,
--- a/modules/quarantine/decision/quarantine_rule.h
+++ b/modules/quarantine/decision/quarantine_rule.h
@@ -43,6 +43,13 @@
 bool mustHold(std::span<const target_end> ends, absl::Time soundAt,
               const quarantine_limits &limits);
 
+/**
+ * True if one more end would suffice to hold the part, so that the evidence must not be lost. Ends
+ * at one moment do not count, whatever their number, and neither do those of one address.
+ */
+bool isNearlyHeld(std::span<const target_end> ends, absl::Time soundAt,
+                  const quarantine_limits &limits);
+
 /**
  * Returns at most maxCount of the ends: the first of each moment, then those of other addresses.
  * @param ends in the order of time
--- a/modules/quarantine/evidence/loss_table.cpp
+++ b/modules/quarantine/evidence/loss_table.cpp
@@ -134,4 +134,14 @@
     return ends;
 }
 
+std::vector<part_id> loss_table::partsOfSeveralEnds() const
+{
+    std::vector<part_id> parts;
+    for (const auto &[part, targets] : m_targetsOfPart) {
+        if (targets.size() > 1)
+            parts.push_back(part);
+    }
+    return parts;
+}
+
 } // namespace quetzal
--- a/modules/quarantine/evidence/loss_table.h
+++ b/modules/quarantine/evidence/loss_table.h
@@ -43,6 +43,8 @@
     void setHeld(absl::flat_hash_set<part_id> held);
     /** Returns the ends within [from, to], without those that were discarded. */
     std::vector<target_end> endsBetween(absl::Time from, absl::Time to) const;
+    /** Returns the parts under which several targets ended, in no order. */
+    std::vector<part_id> partsOfSeveralEnds() const;
     std::size_t size() const { return m_losses.size(); }
 
 private:
--- a/modules/replication/follower/mirror_follower.h
+++ b/modules/replication/follower/mirror_follower.h
@@ -165,6 +165,8 @@
     /** Returns the copy to give to another router; nothing if it is not newer than a revision. */
     std::optional<mirror_copy> copyAfter(std::int64_t revision, absl::Time now) const;
 
+    /** Returns the position of the prefix in the list of mirrored prefixes. */
+    std::size_t position() const { return m_options.position; }
     const prefix_mirror &mirror() const { return m_mirror; }
     /** True if this router is the one that reads the prefix for all, or takes over from it. */
     bool isReader(absl::Time now) const;
--- a/tests/edge/edge_quarantine_test.cpp
+++ b/tests/edge/edge_quarantine_test.cpp
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <memory>
+#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -40,7 +41,7 @@
         keys->write("servers/" + id, engines.back()->entry("s"));
     }
     keys->write("op/config", configuration(3));
-    edge first("127.9.7.1", store.port());
+    auto first = std::make_unique<edge>("127.9.7.1", store.port());
     auto second = std::make_unique<edge>("127.9.7.2", store.port());
     const auto engineOf = [&](const std::string &id) {
         for (std::size_t index = 0; index < engines.size(); ++index) {
@@ -50,14 +51,14 @@
         return 0;
     };
     const auto isKnownToAll = [&] {
-        return first.metricOf("routers") == 2 && second->metricOf("routers") == 2;
+        return first->metricOf("routers") == 2 && second->metricOf("routers") == 2;
     };
-    REQUIRE(eventually([&] { return first.isReady() && second->isReady() && isKnownToAll(); }));
+    REQUIRE(eventually([&] { return first->isReady() && second->isReady() && isKnownToAll(); }));
 
     // The engine of each such request ends: it closes the connection, and its entry goes.
     for (int number = 1; number <= 3; ++number) {
         const std::string id = "f" + std::to_string(number);
-        edge &router = number % 2 == 0 ? *second : first;
+        edge &router = number % 2 == 0 ? *second : *first;
         const std::string answer = router.answerTo(requestWith(fatalPrompt, id, "lose"));
         CHECK(answer.starts_with("HTTP/1.1 502"));
         const int engine = engineOf(id);
@@ -68,13 +69,13 @@
         std::this_thread::sleep_for(std::chrono::milliseconds(800));
     }
     REQUIRE(eventually([&] {
-        return first.metricOf("held_prompt_parts") == 1
+        return first->metricOf("held_prompt_parts") == 1
             && second->metricOf("held_prompt_parts") == 1;
     }));
 
     SECTION("at once and as not run, while others with the same first part are served")
     {
-        for (const edge *router : {&first, second.get()}) {
+        for (const edge *router : {first.get(), second.get()}) {
             const std::string rejected = router->answerTo(requestWith(fatalPrompt, "late", "lose"));
             CHECK(rejected.starts_with("HTTP/1.1 503"));
             CHECK(rejected.find("\"code\":2011") != std::string::npos);
@@ -94,4 +95,21 @@
                   .starts_with("HTTP/1.1 503"));
         CHECK(engineOf("again") == 0);
     }
+    SECTION("also after all of them ended at the same moment")
+    {
+        const auto hasRecord = [&] {
+            const std::lock_guard lock(keys->mutex);
+            return !keys->model.range({.key = "quetzalreach/parts/fa7a1"}, absl::Now()).empty();
+        };
+        REQUIRE(eventually(hasRecord));
+        first.reset();
+        second.reset();
+        first = std::make_unique<edge>("127.9.7.1", store.port());
+        second = std::make_unique<edge>("127.9.7.2", store.port());
+        REQUIRE(eventually([&] { return first->isReady() && second->isReady(); }));
+        for (const edge *router : {first.get(), second.get()})
+            CHECK(router->answerTo(requestWith(fatalPrompt, "after", "lose"))
+                      .starts_with("HTTP/1.1 503"));
+        CHECK(engineOf("after") == 0);
+    }
 }
