--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -256,8 +256,10 @@
     if (m_onDrained && !m_output.isFull())
         m_onDrained();
     // Requests that arrived meanwhile wait for their answers to find room.
-    if (wasFull && !m_output.isFull() && !m_handler)
+    if (wasFull && !m_output.isFull() && !m_handler) {
         process();
+        read();
+    }
     write();
 }
 
--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -185,6 +185,7 @@
 
 void edge_process::onCallerConnection(boost::asio::ip::tcp::socket socket)
 {
+    m_lastConnectionAt = edgeNow();
     m_context.turns.onWork();
     if (!m_node.tryTakeConnection()) {
         m_metrics.onConnectionRejected();
@@ -350,7 +351,9 @@
         closeIdleConnections(now);
         if (now >= schedule.answersDueAt())
             endRequests();
-        if (m_connections.empty() || now >= schedule.endsAt()) {
+        // A connection may still be on its way to a process that ends early.
+        const bool isQuiet = m_connections.empty() && now >= m_lastConnectionAt + firstRequestTime;
+        if (isQuiet || now >= schedule.endsAt()) {
             m_loop.stop();
             return;
         }
--- a/apps/edge/edge_process.h
+++ b/apps/edge/edge_process.h
@@ -84,6 +84,8 @@
     loop_monitor m_loopMonitor;
     absl::Time m_loopDelayLoggedAt = absl::InfinitePast();
     absl::Time m_activityLoggedAt;
+    /** When a caller last connected. */
+    absl::Time m_lastConnectionAt = absl::InfinitePast();
     std::int64_t m_datagramsLogged = 0;
     std::int64_t m_unreadableDatagramsLogged = 0;
     listener m_callerListener;
--- a/tests/emulator/fleet_scenario_test.cpp
+++ b/tests/emulator/fleet_scenario_test.cpp
@@ -103,6 +103,36 @@
         checkInvariants(fleet);
     }
 
+    SECTION("a target restarts as a silent store comes back, beside a burst")
+    {
+        test_fleet fleet({.seed = 1});
+        fleet.run(absl::Seconds(4));
+        fleet.runFaults({{.kind = fault_kind::CrashTarget, .duration = absl::Milliseconds(2700)},
+                         {.kind = fault_kind::StoreSilent,
+                          .delay = absl::Seconds(2),
+                          .duration = absl::Milliseconds(700)},
+                         {.kind = fault_kind::Burst,
+                          .delay = absl::Milliseconds(300),
+                          .duration = absl::Milliseconds(1600)}});
+        fleet.run(absl::Seconds(12));
+        checkInvariants(fleet);
+    }
+
+    SECTION("two targets restart while a VM is frozen")
+    {
+        test_fleet fleet({.seed = 715});
+        fleet.run(absl::Seconds(4));
+        fleet.runFaults(
+            {{.kind = fault_kind::CrashTarget, .subject = 5, .duration = absl::Milliseconds(3700)},
+             {.kind = fault_kind::CrashTarget, .subject = 6, .duration = absl::Milliseconds(1700)},
+             {.kind = fault_kind::FreezeVm,
+              .subject = 5,
+              .delay = absl::Milliseconds(1200),
+              .duration = absl::Milliseconds(2500)}});
+        fleet.run(absl::Seconds(12));
+        checkInvariants(fleet);
+    }
+
     SECTION("the watches of many VMs miss a configuration change")
     {
         test_fleet fleet({.vms = 24, .hasExchange = true});
