Memory of answers goes back; a target is doubted as long as its old record may live

Change: the queue swaps its strings; the allocator returns blocks of 128 KB and more. A target stays in doubt until its old record must have expired (three heartbeats and 1.4 s, as for ends of targets) in place of 3 s, or it answers.

Both tests fail without their change.

--- a/apps/edge/caller_connection.cpp
+++ b/apps/edge/caller_connection.cpp
@@ -215,11 +215,11 @@
     m_context.heldBytes -= std::exchange(m_heldBytes, 0);
 }
 
-void caller_connection::send(const std::string &bytes)
+void caller_connection::send(std::string bytes)
 {
     if (m_isClosed)
         return;
-    m_output.add(bytes, edgeNow());
+    m_output.add(std::move(bytes), edgeNow());
     write();
 }
 
--- a/apps/edge/caller_connection.h
+++ b/apps/edge/caller_connection.h
@@ -27,7 +27,7 @@
     /** Starts reading requests. */
     void start();
     /** Writes bytes of the current answer. */
-    void send(const std::string &bytes);
+    void send(std::string bytes);
     /** Ends the current answer. @param close true to read no further request and close */
     void finishAnswer(bool close);
     /** Closes the connection at once, so that the current answer does not look complete. */
--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
+#include <malloc.h>
 #include <sstream>
 #include <system_error>
 
@@ -13,6 +14,8 @@
 
 constexpr int exitSettings = 2;
 constexpr int exitAddress = 3;
+/** Blocks of this size, in bytes, go back to the system once they are freed. */
+constexpr int minReturnedBlock = 131072;
 
 int fail(quetzal::result_code code, const std::string &message, int exitCode)
 {
@@ -34,6 +37,9 @@
 
 int main(int argc, char **argv)
 {
+    // By default the allocator raises this with each large block, so that the memory of long bodies
+    // stays with the process in pieces that others can't use.
+    mallopt(M_MMAP_THRESHOLD, minReturnedBlock);
     namespace options = boost::program_options;
     const char *variable = std::getenv(quetzal::platform::settingsVariable);
     options::options_description description("quetzal-edge: takes callers' requests on the "
--- a/apps/edge/status_connection.cpp
+++ b/apps/edge/status_connection.cpp
@@ -81,7 +81,7 @@
 {
     boost::asio::async_write(m_socket, boost::asio::buffer(m_output),
                              [self = shared_from_this()](const error_code &error, std::size_t) {
-                                 self->m_output = std::string();
+                                 std::string().swap(self->m_output);
                                  self->m_transfer.reset();
                                  if (error || !self->m_keepAlive)
                                      return;
--- a/apps/edge/target_connection.cpp
+++ b/apps/edge/target_connection.cpp
@@ -81,8 +81,7 @@
                                                           boost::asio::buffer(*m_request.body)};
     boost::asio::async_write(m_socket, bytes, [self](const error_code &error, std::size_t) {
         self->m_isWriting = false;
-        self->m_request.head = {};
-        self->m_request.body.reset();
+        self->m_request.release();
         if (error && !self->m_isClosed && !self->m_isReading)
             self->fail("write_failed");
     });
--- a/apps/edge/target_connection.h
+++ b/apps/edge/target_connection.h
@@ -34,6 +34,13 @@
     std::shared_ptr<const std::string> body;
     /** True for HEAD, whose answer has no body. */
     bool isHead = false;
+
+    /** Returns the memory of the bytes, once they are written. */
+    void release()
+    {
+        std::string().swap(head);
+        body.reset();
+    }
 };
 
 /** One connection to a target, used for one exchange at a time. */
--- a/modules/directory/target/target_directory.cpp
+++ b/modules/directory/target/target_directory.cpp
@@ -116,7 +116,7 @@
     if (state.unreachableAt == absl::InfinitePast())
         return false;
     const absl::Time listReadSince = std::max(state.unreachableAt, m_listAvailableSince);
-    return m_isListUnavailable || m_listConfirmedAt < listReadSince + restartDetectionTime;
+    return m_isListUnavailable || m_listConfirmedAt < listReadSince + m_recordRemovalTime;
 }
 
 void target_directory::extendCold(const std::string &id, absl::Time until)
--- a/modules/directory/target/target_directory.h
+++ b/modules/directory/target/target_directory.h
@@ -42,11 +42,16 @@
 public:
     /** How long lapsed entries are kept after the list is available again. */
     static constexpr absl::Duration lapseGracePeriod = absl::Milliseconds(1900);
+
     /**
-     * How long the list must have been available since a target was unreachable to rule out that
-     * the target restarted.
+     * @param recordRemovalTime the time within which it is known that the record of a target that
+     * ended has expired. A target that was unreachable may have restarted until the list was
+     * available for that long and still holds the record.
      */
-    static constexpr absl::Duration restartDetectionTime = absl::Seconds(3);
+    explicit target_directory(absl::Duration recordRemovalTime = absl::Seconds(5))
+        : m_recordRemovalTime(recordRemovalTime)
+    {
+    }
 
     /** Must be called when the list can no longer be read. */
     void onListUnavailable(absl::Time now);
@@ -125,6 +130,7 @@
     /** Removes entries whose grace period has ended. */
     void removeLapsed(absl::Time now);
 
+    absl::Duration m_recordRemovalTime;
     absl::btree_map<std::string, target_state> m_targets;
     target_notices m_notices;
     absl::flat_hash_set<std::string> m_evacuated;
--- a/modules/forwarding/caller/answer_queue.cpp
+++ b/modules/forwarding/caller/answer_queue.cpp
@@ -4,16 +4,29 @@
 
 namespace quetzal {
 
+namespace {
+
+/** Empties a string and returns its memory, which an assignment would keep. */
+void release(std::string &text)
+{
+    std::string().swap(text);
+}
+
+} // namespace
+
 answer_queue::answer_queue(byte_budget &memory)
     : m_heldBytes(memory)
 {
 }
 
-void answer_queue::add(std::string_view bytes, absl::Time now)
+void answer_queue::add(std::string bytes, absl::Time now)
 {
     if (isEmpty())
         m_lastProgressAt = now;
-    m_pending += bytes;
+    if (m_pending.empty())
+        m_pending = std::move(bytes);
+    else
+        m_pending += bytes;
     updateHeldBytes();
 }
 
@@ -32,7 +45,7 @@
     m_written += count;
     m_lastProgressAt = now;
     if (m_written == m_writing.size()) {
-        m_writing = {};
+        release(m_writing);
         m_written = 0;
     }
     updateHeldBytes();
@@ -40,9 +53,9 @@
 
 void answer_queue::clear()
 {
-    m_writing = {};
+    release(m_writing);
     m_written = 0;
-    m_pending = {};
+    release(m_pending);
     updateHeldBytes();
 }
 
--- a/modules/forwarding/caller/answer_queue.h
+++ b/modules/forwarding/caller/answer_queue.h
@@ -26,7 +26,7 @@
     explicit answer_queue(byte_budget &memory);
 
     /** Appends bytes to write. */
-    void add(std::string_view bytes, absl::Time now);
+    void add(std::string bytes, absl::Time now);
     /** Returns bytes to write; they stay valid until onWritten() is called. Empty if none are left.
      */
     std::string_view next();
--- a/modules/forwarding/node/forwarding_node.cpp
+++ b/modules/forwarding/node/forwarding_node.cpp
@@ -36,6 +36,7 @@
 
 forwarding_node::forwarding_node(forwarding_options options)
     : m_options(std::move(options))
+    , m_directory(m_options.recordRemovalTime)
     , m_connectionLimiter(turnLimitsOf(m_options.processorShare))
     , m_requestLimiter(turnLimitsOf(m_options.processorShare * requestsPerConnectionTaken))
     , m_coldLimiter(m_options.startedAt)
--- a/tests/directory/target_directory_test.cpp
+++ b/tests/directory/target_directory_test.cpp
@@ -23,7 +23,9 @@
 TEST_CASE("a target receives requests while its record allows it", "[directory]")
 {
     const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
-    target_directory directory;
+    // Three heartbeats, and the time until all routers know.
+    const absl::Duration removalTime = 3 * absl::Milliseconds(1200) + absl::Milliseconds(1400);
+    target_directory directory(removalTime);
     directory.apply(engine("a"), absl::ZeroDuration(), start);
     directory.apply(engine("b", "south"), absl::ZeroDuration(), start);
     REQUIRE(directory.usableTargets("model", start).size() == 2);
@@ -88,13 +90,21 @@
         const target_state &state = *directory.find("a");
         REQUIRE_FALSE(directory.isCold(state, start));
         directory.markUnreachable("a", start);
-        const absl::Time detected = start + target_directory::restartDetectionTime;
+        const absl::Time detected = start + removalTime;
         directory.onListConfirmed(detected - absl::Seconds(1));
         CHECK(directory.isCold(state, detected - absl::Seconds(1)));
         directory.onListConfirmed(detected);
         CHECK_FALSE(directory.isCold(state, detected));
         CHECK_FALSE(directory.isCold(*directory.find("b"), start));
 
+        SECTION("which the record of a target that was down for some seconds does not yet")
+        {
+            const absl::Time restarted = start + absl::Milliseconds(2700);
+            directory.markUnreachable("a", start);
+            directory.onListConfirmed(restarted + absl::Seconds(1));
+            CHECK(directory.isCold(state, restarted + absl::Seconds(1)));
+        }
+
         SECTION("which takes longer while the list is not confirmed")
         {
             directory.onListConfirmed(detected - absl::Milliseconds(1));
@@ -119,8 +129,8 @@
             directory.onListAvailable(back);
             directory.onListConfirmed(back);
             CHECK(directory.isCold(state, back));
-            directory.onListConfirmed(back + target_directory::restartDetectionTime);
-            CHECK_FALSE(directory.isCold(state, back + target_directory::restartDetectionTime));
+            directory.onListConfirmed(back + removalTime);
+            CHECK_FALSE(directory.isCold(state, back + removalTime));
         }
     }
 
--- a/tests/forwarding/answer_queue_test.cpp
+++ b/tests/forwarding/answer_queue_test.cpp
@@ -2,6 +2,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <malloc.h>
 #include <string>
 
 using namespace quetzal;
@@ -11,6 +12,13 @@
 const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
 constexpr std::size_t memory = 1000000;
 
+/** Returns how much the process holds of the allocator. */
+std::size_t allocatedBytes()
+{
+    const struct mallinfo2 state = mallinfo2();
+    return state.uordblks + state.hblkhd;
+}
+
 } // namespace
 
 TEST_CASE("the bytes that a caller has not taken", "[forwarding]")
@@ -60,9 +68,11 @@
 
         AND_THEN("a block returns its memory once it is written whole")
         {
+            const std::size_t before = allocatedBytes();
             queue.onWritten(1000, start);
             CHECK(budget.usedBytes() == 0);
             CHECK_FALSE(queue.isFull());
+            CHECK(before - allocatedBytes() >= memory / 2);
         }
     }
 
