--- a/apps/edge/edge_process.cpp
+++ b/apps/edge/edge_process.cpp
@@ -18,21 +18,14 @@
 namespace {
 
 constexpr std::chrono::milliseconds tickInterval {200};
-/** Interval during a shutdown; short compared with its steps, even if the grace period is short. */
-constexpr std::chrono::milliseconds shutdownTickInterval {20};
-/** Time for the first request on a new connection to arrive while the process stops. */
-constexpr absl::Duration firstRequestTime = absl::Milliseconds(500);
 /** Interval between checks of the settings file, which may change without a signal. */
 constexpr int ticksPerSettingsCheck = 15;
 constexpr std::uint16_t metricsPort = 9464;
-constexpr char metricsPath[] = "/metrics";
 /** Delays of the event loop that are logged, and how often at most. */
 constexpr absl::Duration loggedLoopDelay = absl::Milliseconds(100);
 constexpr absl::Duration loopDelayLogInterval = absl::Milliseconds(500);
 /** The time that one line on the event loop's activity covers. */
 constexpr absl::Duration activityLogInterval = absl::Milliseconds(500);
-constexpr int statusUnavailable = 503;
-constexpr int statusOk = 200;
 /** Request bodies, and answers, may each occupy at most the memory limit divided by this. */
 constexpr std::size_t heldMemoryDivisor = 4;
 constexpr std::size_t defaultMemoryMegabytes = 256;
@@ -316,18 +309,6 @@
     m_node.shortenShutdown(m_settings.stopGrace);
 }
 
-void edge_process::beginStop()
-{
-    if (m_context.isStopping)
-        return;
-    m_context.isStopping = true;
-    m_node.beginShutdown(shutdown_schedule(edgeNow(), m_settings.stopGrace));
-    m_log.line("stopping")
-        .number("openConnections", static_cast<std::int64_t>(m_connections.size()))
-        .number("graceMs", absl::ToInt64Milliseconds(m_settings.stopGrace));
-    tickShutdown();
-}
-
 void edge_process::tick()
 {
     const absl::Time now = edgeNow();
@@ -343,91 +324,4 @@
     });
 }
 
-void edge_process::tickShutdown()
-{
-    const shutdown_schedule &schedule = *m_node.shutdown();
-    const absl::Time now = edgeNow();
-    if (!schedule.isAccepting(now)) {
-        closeIdleConnections(now);
-        if (now >= schedule.answersDueAt())
-            endRequests();
-        // A connection may still be on its way to a process that ends early.
-        const bool isQuiet = m_connections.empty() && now >= m_lastConnectionAt + firstRequestTime;
-        if (isQuiet || now >= schedule.endsAt()) {
-            m_loop.stop();
-            return;
-        }
-    }
-    m_shutdownTimer.expires_after(shutdownTickInterval);
-    m_shutdownTimer.async_wait([this](const error_code &error) {
-        if (!error)
-            tickShutdown();
-    });
-}
-
-void edge_process::closeIdleConnections(absl::Time now)
-{
-    const std::vector<std::shared_ptr<caller_connection>> connections(m_connections.begin(),
-                                                                      m_connections.end());
-    for (const auto &connection : connections) {
-        if (connection->idleSince() + firstRequestTime <= now)
-            connection->closeIfIdle();
-    }
-}
-
-void edge_process::endRequests()
-{
-    const std::vector<std::shared_ptr<caller_connection>> connections(m_connections.begin(),
-                                                                      m_connections.end());
-    for (const auto &connection : connections)
-        connection->endForShutdown();
-}
-
-bool edge_process::isReady() const
-{
-    return !m_context.isStopping && m_feed.isComplete();
-}
-
-status_page edge_process::statusPage(const std::string &path)
-{
-    if (path == metricsPath)
-        return {.status = statusOk, .body = metricsText()};
-    return isReady() ? status_page {.status = statusOk, .body = "ready\n"}
-                     : status_page {.status = statusUnavailable, .body = "not ready\n"};
-}
-
-listener::callback edge_process::makePageCallback(status_connection::handler answer)
-{
-    return [this, answer = std::move(answer)](boost::asio::ip::tcp::socket socket) {
-        std::make_shared<status_connection>(m_loop, std::move(socket), answer)->start();
-    };
-}
-
-std::string edge_process::metricsText()
-{
-    m_metrics.set("open_connections", "Connections from callers.",
-                  static_cast<std::int64_t>(m_connections.size()));
-    m_metrics.set("target_connections_opened", "Connections to targets since the start.",
-                  m_pool.openedCount());
-    m_metrics.set("digests_sent", "Datagrams to other routers since the start.",
-                  m_peers.sentCount());
-    m_metrics.set("digests_received", "Datagrams from other routers since the start.",
-                  m_peers.receivedCount());
-    m_metrics.set("datagrams_unreadable", "Datagrams that could not be read since the start.",
-                  m_peers.unreadableCount());
-    m_metrics.set("routers", "Routers that share the fleet's limits.",
-                  static_cast<std::int64_t>(m_node.routers().members.size()));
-    m_metrics.set("configuration_version", "The version of the configuration in force.",
-                  m_node.routes() ? m_node.routes()->version() : 0);
-    m_metrics.set("held_prompt_parts", "Prompt parts whose requests are rejected.",
-                  static_cast<std::int64_t>(m_node.quarantine().held().size()));
-    m_metrics.set("held_answer_bytes", "Bytes of answers held in memory.",
-                  static_cast<std::int64_t>(m_node.answerMemory().usedBytes()));
-    m_metrics.set("held_bytes", "Bytes of requests held in memory.",
-                  static_cast<std::int64_t>(m_context.heldBytes));
-    m_metrics.set("log_lines_dropped", "Log lines left out since the start.",
-                  static_cast<std::int64_t>(m_log.droppedCount()));
-    return m_metrics.text();
-}
-
 } // namespace quetzal
