--- a/tests/replication/mirror_follower_test.cpp
+++ b/tests/replication/mirror_follower_test.cpp
@@ -1,4 +1,4 @@
-#include "replication/replication.h"
+#include "replication/follower_fixture.h"
 
 #include <catch2/catch.hpp>
 
@@ -7,52 +7,6 @@
 
 using namespace quetzal;
 
-namespace {
-
-using action = follower_step::action;
-
-const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
-/** Some time after the start, when no first copy is waited for. */
-const absl::Time now = start + absl::Seconds(5);
-const std::vector<std::string> fleet {"vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6"};
-
-key_change written(const std::string &key, const std::string &value, std::int64_t revision)
-{
-    return {.key = key, .value = value, .revision = revision};
-}
-
-stored_item item(const std::string &key, const std::string &value, std::int64_t revision)
-{
-    return {.key = key, .value = value, .revision = revision};
-}
-
-mirror_follower followerOf(const std::string &vm)
-{
-    mirror_follower follower({.prefix = "a/", .self = vm, .startedAt = start});
-    follower.setRouters(fleet);
-    return follower;
-}
-
-/** Returns the name of the router with a rank in the order of readers. */
-std::string vmOfRank(std::size_t rank)
-{
-    for (const std::string &vm : fleet) {
-        reader_order order("a/", vm);
-        order.setRouters(fleet);
-        if (order.rank() == rank)
-            return vm;
-    }
-    return {};
-}
-
-mirror_update updateOf(const std::string &vm, std::int64_t after, std::int64_t revision,
-                       std::vector<key_change> changes = {})
-{
-    return {.vm = vm, .after = after, .revision = revision, .changes = std::move(changes)};
-}
-
-} // namespace
-
 TEST_CASE("a follower of an unreliable service", "[replication]")
 {
     mirror_follower follower({.prefix = "a/", .self = "vm", .startedAt = start});
@@ -374,71 +328,3 @@
         CHECK(follower.next(later + absl::Milliseconds(300), true).kind == action::Copy);
     }
 }
-
-TEST_CASE("an update that makes a listing needless while a page of it is read", "[replication]")
-{
-    const std::string reader = vmOfRank(0);
-    mirror_follower follower = followerOf(vmOfRank(1));
-    follower.onListing({.items = {item("a/1", "x", 3), item("a/2", "y", 4)}, .revision = 9}, {},
-                       now);
-    follower.onHistoryLost(now);
-    follower.onListing({.items = {item("a/1", "x", 3)}, .hasMore = true, .revision = 10}, {}, now);
-    const follower_step step = follower.next(now, true);
-    REQUIRE(step.afterKey == "a/1");
-    follower.onUpdate(updateOf(reader, 9, 12), reader, now);
-
-    SECTION("leaves the keys of the earlier pages, when the last page arrives, as they are")
-    {
-        const auto changes = follower.onListing({.items = {item("a/2", "y", 4)}, .revision = 12},
-                                                step.afterKey, now);
-        CHECK(changes.empty());
-        CHECK(follower.mirror().items().size() == 2);
-        CHECK_FALSE(follower.takeUpdate());
-    }
-}
-
-TEST_CASE("the router that reads for all", "[replication]")
-{
-    mirror_follower follower = followerOf(vmOfRank(0));
-    follower.onListing({.items = {item("a/1", "x", 3)}, .revision = 9}, {}, now);
-    REQUIRE(follower.next(now, true).kind == action::Watch);
-    CHECK_FALSE(follower.takeUpdate());
-
-    SECTION("sends the changes that it reads, once")
-    {
-        const std::vector<key_change> changes {written("a/2", "y", 11)};
-        follower.onChanges({.changes = changes, .revision = 12}, 9, now);
-        CHECK(follower.takeUpdate()
-              == mirror_update {.vm = vmOfRank(0), .after = 9, .revision = 12, .changes = changes});
-        CHECK_FALSE(follower.takeUpdate());
-
-        AND_THEN("an update without changes reaches back to the last change")
-        {
-            follower.onChanges({.changes = {}, .revision = 20}, 12, now);
-            const auto update = follower.takeUpdate();
-            REQUIRE(update);
-            CHECK(update->after == 11);
-            CHECK(update->revision == 20);
-        }
-    }
-
-    SECTION("sends the difference when the history was lost")
-    {
-        follower.onHistoryLost(now);
-        follower.onListing({.items = {item("a/2", "y", 30)}, .revision = 40}, {}, now);
-        const auto update = follower.takeUpdate();
-        REQUIRE(update);
-        CHECK(update->isDifference);
-        CHECK(update->after == 9);
-        CHECK(update->changes.size() == 2);
-    }
-
-    SECTION("calls a failing service again soon, and requests a copy in between")
-    {
-        follower.onFailure(now);
-        CHECK(follower.next(now, true).kind == action::Copy);
-        follower.onCopyFailed(now);
-        CHECK(follower.next(now, true).kind == action::Watch);
-        CHECK(follower.next(now, true).delay == mirror_follower::initialRetryDelay);
-    }
-}
