Edge: what the store answered, what updates were taken for, and each replica's revision and age

Cause: of a VM that stays at an older configuration the logs could not tell whether its replica had passed the change, could not get it, or heard nobody. Change: lines store_answer, update and update_missed; gauges of revision and age by prefix.

--- a/apps/edge/edge_metrics.cpp
+++ b/apps/edge/edge_metrics.cpp
@@ -89,4 +89,19 @@
     m_registry.gaugeFor("quetzal_edge_" + name, help).set(static_cast<double>(value));
 }
 
+void edge_metrics::setReplica(const std::string &prefix, std::int64_t revision, absl::Duration age)
+{
+    const metric_labels labels {{"prefix", prefix}};
+    m_registry
+        .gaugeFor("quetzal_edge_replica_revision",
+                  "The revision of the store up to which changes "
+                  "are known.",
+                  labels)
+        .set(static_cast<double>(revision));
+    m_registry
+        .gaugeFor("quetzal_edge_replica_age_seconds", "The time since the replica was current.",
+                  labels)
+        .set(absl::ToDoubleSeconds(age));
+}
+
 } // namespace quetzal
--- a/apps/edge/edge_metrics.h
+++ b/apps/edge/edge_metrics.h
@@ -72,6 +72,9 @@
     /** Sets a gauge; called for each gauge before the metrics are rendered. */
     void set(const std::string &name, const std::string &help, std::int64_t value);
 
+    /** Sets the revision of a replica and the time since it was known to be current. */
+    void setReplica(const std::string &prefix, std::int64_t revision, absl::Duration age);
+
     /** Returns what happened since the last call. */
     edge_activity takeActivity() { return std::exchange(m_activity, {}); }
     /** Returns all metrics in the Prometheus text format. */
--- a/apps/edge/edge_process_status.cpp
+++ b/apps/edge/edge_process_status.cpp
@@ -1,3 +1,4 @@
+#include "apps/edge/edge_clock.h"
 #include "apps/edge/edge_process.h"
 
 #include <memory>
@@ -49,6 +50,7 @@
                   static_cast<std::int64_t>(m_node.routers().members.size()));
     m_metrics.set("configuration_version", "The version of the configuration in force.",
                   m_node.routes() ? m_node.routes()->version() : 0);
+    m_feed.writeMetrics(m_metrics, edgeNow());
     m_metrics.set("held_prompt_parts", "Prompt parts whose requests are rejected.",
                   static_cast<std::int64_t>(m_node.quarantine().held().size()));
     m_metrics.set("held_answer_bytes", "Bytes of answers held in memory.",
--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -80,7 +80,9 @@
 {
     // Whether the replica was current decides what becomes of targets that the update removes.
     reportCurrent(now);
+    const std::int64_t before = m_follower.mirror().revision();
     const std::vector<key_change> changes = m_follower.onUpdate(update, host, now);
+    reportUpdate(update, before);
     reportCurrent(now);
     reportChanges(changes, false);
     step();
@@ -158,12 +160,14 @@
         if (!page)
             return false;
         reportUnreadable(page->unreadableCount);
+        reportAnswer(step, page->revision, page->changes.size());
         changes = m_follower.onChanges(*page, step.revision, now);
     } else {
         const auto page = platform::readListing(result.body);
         if (!page)
             return false;
         reportUnreadable(page->unreadableCount);
+        reportAnswer(step, page->revision, page->items.size());
         changes = m_follower.onListing(*page, step.afterKey, now);
     }
     sendUpdate();
@@ -240,6 +244,35 @@
         m_callbacks.onChanges(changes, first);
 }
 
+void mirror_session::reportAnswer(const follower_step &step, std::int64_t revision,
+                                  std::size_t rows)
+{
+    m_log.line("store_answer")
+        .text("prefix", m_follower.mirror().prefix())
+        .flag("watch", step.kind == follower_step::action::Watch)
+        .number("after", step.revision)
+        .number("revision", revision)
+        .number("rows", static_cast<std::int64_t>(rows))
+        .number("waitMs", absl::ToInt64Milliseconds(step.wait))
+        .number("tookMs", absl::ToInt64Milliseconds(edgeNow() - m_calledAt));
+}
+
+void mirror_session::reportUpdate(const mirror_update &update, std::int64_t before)
+{
+    const std::int64_t revision = m_follower.mirror().revision();
+    const bool isMissed = update.revision > revision;
+    if (update.changes.empty() && !isMissed)
+        return;
+    m_log.line(isMissed ? "update_missed" : "update")
+        .text("prefix", m_follower.mirror().prefix())
+        .text("from", update.vm)
+        .number("after", update.after)
+        .number("revision", update.revision)
+        .number("changes", static_cast<std::int64_t>(update.changes.size()))
+        .number("before", before)
+        .number("own", revision);
+}
+
 void mirror_session::reportUnreadable(std::size_t rows)
 {
     if (rows > 0)
--- a/apps/edge/mirror_session.h
+++ b/apps/edge/mirror_session.h
@@ -80,6 +80,10 @@
     bool apply(const follower_step &step, const http_result &result);
     void reportChanges(const std::vector<key_change> &changes, bool first);
     void reportCurrent(absl::Time now);
+    /** Logs what the store answered, and how long that took. */
+    void reportAnswer(const follower_step &step, std::int64_t revision, std::size_t rows);
+    /** Logs what an update with content, or one that does not fit the replica, was taken for. */
+    void reportUpdate(const mirror_update &update, std::int64_t before);
     /** Logs rows of the store's answer that have no key. */
     void reportUnreadable(std::size_t rows);
     /** Sends the update that the last answer of the store brought, if there is one. */
--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -279,6 +279,15 @@
     m_context.node.setRouters(std::move(group));
 }
 
+void store_feed::writeMetrics(edge_metrics &metrics, absl::Time now) const
+{
+    for (const mirror_session *session : sessions()) {
+        const mirror_follower &follower = session->follower();
+        const absl::Duration age = now - std::max(follower.confirmedAt(), absl::UnixEpoch());
+        metrics.setReplica(follower.mirror().prefix(), follower.mirror().revision(), age);
+    }
+}
+
 void store_feed::maintain(absl::Time now)
 {
     const fleet_view &fleet = m_context.node.fleet();
--- a/apps/edge/store_feed.h
+++ b/apps/edge/store_feed.h
@@ -47,6 +47,8 @@
     void maintain(absl::Time now);
     /** True once configuration, targets and routers are known. */
     bool isComplete() const;
+    /** Writes the revision and the age of each replica to the metrics. */
+    void writeMetrics(edge_metrics &metrics, absl::Time now) const;
     /** Returns the copy of a prefix for another router; the path names prefix and revision. */
     status_page mirrorPage(const std::string &path);
 
