Failing test: routers that are told of a change never get it from a slow service

Deaf watches and updates that only announce are emulated; the fleet of replicas has a folder of its own, as two tests use it.

--- a/bench/emulator/store/emulated_store.cpp
+++ b/bench/emulator/store/emulated_store.cpp
@@ -122,7 +122,9 @@
                                 .prefix = prefix,
                                 .after = after,
                                 .until = m_events.now() + wait,
-                                .callback = callback});
+                                .callback = callback,
+                                .timeoutAt = m_events.now() + timeout,
+                                .isDeaf = m_areWatchesDeaf});
 }
 
 void emulated_store::completeWatches()
@@ -130,6 +132,13 @@
     std::vector<pending_watch> pending;
     for (pending_watch &watch : std::exchange(m_pendingWatches, {})) {
         const change_page page = changesAfter(watch.prefix, watch.after);
+        if (watch.isDeaf && (watch.after < m_historyStart || !page.changes.empty())) {
+            if (m_events.now() >= watch.timeoutAt)
+                watch.callback(std::nullopt);
+            else
+                pending.push_back(std::move(watch));
+            continue;
+        }
         const bool isUnresponsive = modeFor(watch.router) == store_mode::Unresponsive;
         const bool isExpired = m_events.now() >= watch.until;
         const bool hasChanges = !isUnresponsive && !watch.losesEvents && !page.changes.empty();
@@ -147,9 +156,10 @@
 {
     m_history.clear();
     m_historyStart = m_revision;
+    m_areWatchesDeaf = false;
     std::vector<pending_watch> affected;
     for (pending_watch &watch : std::exchange(m_pendingWatches, {})) {
-        if (watch.losesEvents)
+        if (watch.losesEvents || watch.isDeaf)
             affected.push_back(std::move(watch));
         else
             answer(watch.router, absl::Seconds(1), history_lost {}, watch.callback);
@@ -157,6 +167,13 @@
     m_pendingWatches = std::move(affected);
 }
 
+void emulated_store::deafenWatches()
+{
+    m_areWatchesDeaf = true;
+    for (pending_watch &watch : m_pendingWatches)
+        watch.isDeaf = true;
+}
+
 void emulated_store::loseWatchEvents()
 {
     for (pending_watch &watch : m_pendingWatches)
--- a/bench/emulator/store/emulated_store.h
+++ b/bench/emulator/store/emulated_store.h
@@ -70,6 +70,11 @@
     void compactHistory();
     /** Makes pending watches miss all changes until their wait has elapsed. */
     void loseWatchEvents();
+    /**
+     * Makes pending watches, and those that begin until compactHistory(), silent: once there is a
+     * change for them, they are never answered.
+     */
+    void deafenWatches();
 
 private:
     struct pending_watch
@@ -80,6 +85,9 @@
         absl::Time until;
         store_callback callback;
         bool losesEvents = false;
+        /** When the caller gives up. */
+        absl::Time timeoutAt;
+        bool isDeaf = false;
     };
 
     store_mode modeFor(const std::string &router) const;
@@ -100,6 +108,7 @@
     absl::flat_hash_map<std::string, store_mode> m_modes;
     absl::Duration m_latency = absl::Milliseconds(4);
     std::vector<pending_watch> m_pendingWatches;
+    bool m_areWatchesDeaf = false;
     std::optional<int> m_callLimit;
     std::int64_t m_callCount = 0;
     /** The calls within the current second. */
--- a/tests/replication/replica_fleet.cpp
+++ b/tests/replica_fleet/replica_fleet.cpp
@@ -1,7 +1,8 @@
-#include "replication/replica_fleet.h"
+#include "replica_fleet/replica_fleet.h"
 
 #include "exchange/interval/digest_interval.h"
 #include "exchange/peers/peer_list.h"
+#include "replication/update/update_codec.h"
 
 #include <algorithm>
 #include <array>
@@ -158,8 +159,12 @@
 
 void replica_fleet::send(int from, const mirror_update &update)
 {
-    sendToMembers(*m_routers[static_cast<std::size_t>(from)],
-                  [update](router &to) { to.mirrors[update.prefix]->onUpdate(update, update.vm); });
+    for (const std::string &bytes : encodeUpdate(update, m_options.maxUpdateBytes)) {
+        sendToMembers(*m_routers[static_cast<std::size_t>(from)],
+                      [part = decodeUpdate(bytes).value()](router &to) {
+                          to.mirrors[part.prefix]->onUpdate(part, part.vm);
+                      });
+    }
 }
 
 void replica_fleet::sendDigests(router &owner)
@@ -216,7 +221,7 @@
         return answer;
     const router *peer = m_routers[static_cast<std::size_t>(vmOf(*chosen))].get();
     const bool isReachable = peer == nullptr || (!peer->isPaused && !peer->isIsolated);
-    answer.isAnswered = isReachable && (peer == nullptr || !peer->isMuted);
+    answer.isAnswered = isReachable && !m_areCopiesWithheld && (peer == nullptr || !peer->isMuted);
     if (answer.isAnswered && peer != nullptr)
         answer.copy = peer->mirrors[prefix]->copyAfter(revision);
     return answer;
--- a/tests/replication/replica_fleet.h
+++ b/tests/replica_fleet/replica_fleet.h
@@ -31,6 +31,10 @@
     /** How long a router of a large fleet sends digests; its start needs them, little else does. */
     absl::Duration digestTime = absl::Seconds(1);
     std::uint64_t seed = 1;
+    /** The largest update that fits a datagram. */
+    std::size_t maxUpdateBytes = 1400;
+    /** The link over which each VM gives its copies, one after the other. */
+    double linkMbps = 1000.0;
 };
 
 /** Routers that replicate the prefixes of a store, and nothing else, in simulated time. */
@@ -55,6 +59,8 @@
     void resume(int vm);
     /** Loses all datagrams and copies to and from a VM; its calls to the store still work. */
     void isolate(int vm, bool isIsolated);
+    /** Makes all VMs leave requests for their copies unanswered. */
+    void withholdCopies(bool areWithheld) { m_areCopiesWithheld = areWithheld; }
     /** Loses what a VM sends, but not what it receives. */
     void muteVm(int vm, bool isMuted);
 
@@ -85,6 +91,7 @@
     void updateMembers(router &owner);
     bool chance(double fraction);
 
+    bool m_areCopiesWithheld = false;
     event_queue m_events;
     emulated_store m_store;
     replica_fleet_options m_options;
--- a/tests/replication/replica_fleet_test.cpp
+++ b/tests/replication/replica_fleet_test.cpp
@@ -1,4 +1,4 @@
-#include "replication/replica_fleet.h"
+#include "replica_fleet/replica_fleet.h"
 
 #include <absl/strings/str_cat.h>
 #include <catch2/catch.hpp>
