A missed change is requested from all sources by turns until it is there

Cause of the class: once two requests for copies had failed, a router that had missed a change only called the service, and aborted that call at each look (200 ms), so that a service which answers later never got through; its replica was confirmed by the service's revision all the same. Change: missed_change asks sender, other routers and the service by turns without end; only a watch that began before the router was told is aborted; a replica that lacks a known change is not confirmed, and after 1.2 s not current. Logged and shown in the metrics.

--- a/apps/edge/edge_metrics.cpp
+++ b/apps/edge/edge_metrics.cpp
@@ -89,19 +89,18 @@
     m_registry.gaugeFor("quetzal_edge_" + name, help).set(static_cast<double>(value));
 }
 
-void edge_metrics::setReplica(const std::string &prefix, std::int64_t revision, absl::Duration age)
+void edge_metrics::setReplica(const replica_status &replica)
 {
-    const metric_labels labels {{"prefix", prefix}};
-    m_registry
-        .gaugeFor("quetzal_edge_replica_revision",
-                  "The revision of the store up to which changes "
-                  "are known.",
-                  labels)
-        .set(static_cast<double>(revision));
-    m_registry
-        .gaugeFor("quetzal_edge_replica_age_seconds", "The time since the replica was current.",
-                  labels)
-        .set(absl::ToDoubleSeconds(age));
+    const metric_labels labels {{"prefix", replica.prefix}};
+    const auto setGauge = [&](const std::string &name, const std::string &help, double value) {
+        m_registry.gaugeFor("quetzal_edge_replica_" + name, help, labels).set(value);
+    };
+    setGauge("revision", "The revision of the store up to which changes are known.",
+             static_cast<double>(replica.revision));
+    setGauge("missed_revision", "The revision of a change that others have; 0 for none.",
+             static_cast<double>(replica.missedRevision));
+    setGauge("age_seconds", "The time since the replica was current.",
+             absl::ToDoubleSeconds(replica.age));
 }
 
 } // namespace quetzal
--- a/apps/edge/edge_metrics.h
+++ b/apps/edge/edge_metrics.h
@@ -27,6 +27,18 @@
     absl::Duration maxDelay = absl::ZeroDuration();
 };
 
+/** The state of one replica of the store. */
+struct replica_status
+{
+    std::string prefix;
+    /** The revision up to which changes are known. */
+    std::int64_t revision = 0;
+    /** The revision of a change that other routers have and this one has not; 0 for none. */
+    std::int64_t missedRevision = 0;
+    /** The time since the replica was known to be current. */
+    absl::Duration age;
+};
+
 /** Counters, gauges and latency histograms of one edge process. */
 class edge_metrics
 {
@@ -72,8 +84,8 @@
     /** Sets a gauge; called for each gauge before the metrics are rendered. */
     void set(const std::string &name, const std::string &help, std::int64_t value);
 
-    /** Sets the revision of a replica and the time since it was known to be current. */
-    void setReplica(const std::string &prefix, std::int64_t revision, absl::Duration age);
+    /** Sets the gauges of a replica. */
+    void setReplica(const replica_status &replica);
 
     /** Returns what happened since the last call. */
     edge_activity takeActivity() { return std::exchange(m_activity, {}); }
--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -50,7 +50,7 @@
     reportCurrent(now);
     const bool first = !m_follower.mirror().isComplete();
     reportChanges(m_follower.applyOldCopy(now), first);
-    if (m_call == call_state::Watch && m_follower.isWatchBehind(now)) {
+    if (m_call == call_state::Watch && m_follower.isWatchBehind(m_calledAt, now)) {
         m_log.line("watch_behind")
             .text("prefix", m_follower.mirror().prefix())
             .number("revision", m_follower.mirror().revision());
@@ -286,9 +286,12 @@
     const bool isCurrent = m_follower.isCurrent(now);
     if (isCurrent == std::exchange(m_wasCurrent, isCurrent))
         return;
+    const auto &missed = m_follower.missed();
     m_log.line(isCurrent ? "store_reached" : "store_lost")
         .text("prefix", m_follower.mirror().prefix())
-        .number("revision", m_follower.mirror().revision());
+        .number("revision", m_follower.mirror().revision())
+        .number("missedRevision", missed ? missed->revision() : 0)
+        .number("missedMs", missed ? absl::ToInt64Milliseconds(now - missed->since()) : 0);
     if (m_callbacks.onCurrentChanged)
         m_callbacks.onCurrentChanged(isCurrent);
 }
--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -284,7 +284,11 @@
     for (const mirror_session *session : sessions()) {
         const mirror_follower &follower = session->follower();
         const absl::Duration age = now - std::max(follower.confirmedAt(), absl::UnixEpoch());
-        metrics.setReplica(follower.mirror().prefix(), follower.mirror().revision(), age);
+        const auto &missed = follower.missed();
+        metrics.setReplica({.prefix = follower.mirror().prefix(),
+                            .revision = follower.mirror().revision(),
+                            .missedRevision = missed ? missed->revision() : 0,
+                            .age = age});
     }
 }
 
--- a/bench/emulator/store/emulated_mirror.cpp
+++ b/bench/emulator/store/emulated_mirror.cpp
@@ -42,7 +42,7 @@
     reportCurrent();
     const bool first = !m_follower.mirror().isComplete();
     reportChanges(m_follower.applyOldCopy(m_events.now()), first);
-    if (m_isWatching && m_follower.isWatchBehind(m_events.now())) {
+    if (m_isWatching && m_follower.isWatchBehind(m_calledAt, m_events.now())) {
         m_isWatching = false;
         m_isCalling = false;
         ++m_lastCall;
--- a/modules/replication/follower/mirror_follower.cpp
+++ b/modules/replication/follower/mirror_follower.cpp
@@ -108,11 +108,12 @@
 
 std::optional<follower_step> mirror_follower::missedUpdateStep(absl::Time now) const
 {
-    if (m_missed->copyAttempts >= maxCopyAttempts)
+    if (m_missed->source(m_order.routerCount()) == change_source::Service)
         return std::nullopt;
-    const absl::Time copyAt = std::max(m_missed->since + copySpread(), m_lastCopyAt + copyInterval);
+    const absl::Time copyAt
+        = std::max(m_missed->since() + copySpread(), m_lastCopyAt + copyInterval);
     return follower_step {.kind = follower_step::action::Copy,
-                          .host = m_missed->copyAttempts == 0 ? m_missed->host : std::string(),
+                          .host = m_missed->host(),
                           .delay = timeUntil(copyAt, now)};
 }
 
@@ -150,9 +151,9 @@
     return maxCopySpread * std::min(fleet, 1.0) * m_spread;
 }
 
-bool mirror_follower::isWatchBehind(absl::Time now) const
+bool mirror_follower::isWatchBehind(absl::Time calledAt, absl::Time now) const
 {
-    return m_missed && now - m_missed->since >= maxWatchLag;
+    return m_missed && calledAt <= m_missed->since() && now - m_missed->since() >= maxWatchLag;
 }
 
 bool mirror_follower::isFirstListingSlow(absl::Time calledAt, absl::Time now, bool hasPeers) const
@@ -168,14 +169,20 @@
 
 bool mirror_follower::isCurrent(absl::Time now) const
 {
-    return m_mirror.isComplete() && now - m_confirmedAt <= m_options.maxAge;
+    const bool isBehind = m_missed && now - m_missed->since() > maxUpdateLag;
+    return m_mirror.isComplete() && !isBehind && now - m_confirmedAt <= m_options.maxAge;
 }
 
 void mirror_follower::confirm(std::int64_t revision, absl::Time asOf)
 {
-    if (revision >= m_mirror.revision())
+    endMissed();
+    if (revision >= m_mirror.revision() && !m_missed)
         m_confirmedAt = std::max(m_confirmedAt, asOf);
-    if (m_missed && m_mirror.revision() >= m_missed->revision)
+}
+
+void mirror_follower::endMissed()
+{
+    if (m_missed && m_mirror.revision() >= m_missed->revision())
         m_missed.reset();
 }
 
@@ -232,10 +239,11 @@
     m_hadChanges = !page.changes.empty();
     const std::int64_t after = std::min(watchedFrom, m_mirror.unchangedSince());
     std::vector<key_change> changes = m_mirror.applyChanges(page.changes, page.revision);
-    confirm(page.revision, now);
-    // The service itself does not know of a change that was announced but not found in copies.
-    if (m_missed && m_missed->copyAttempts >= maxCopyAttempts)
+    endMissed();
+    // Asked after this router was told, the service itself does not know of the change.
+    if (m_missed && m_missed->source(m_order.routerCount()) == change_source::Service)
         m_missed.reset();
+    confirm(page.revision, now);
     if (isReader(now))
         m_outgoing = {.vm = m_options.self,
                       .prefix = m_options.position,
@@ -270,6 +278,8 @@
 {
     ++m_failures;
     m_storeAnsweredAt = now;
+    if (m_missed && m_missed->source(m_order.routerCount()) == change_source::Service)
+        m_missed->onSourceFailed();
     m_isCopyTurn = true;
     m_hadCopyTurn = true;
 }
@@ -312,7 +322,7 @@
     confirm(copy.revision, now - copy.age);
     m_readerHeardAt = std::max(m_readerHeardAt, now - copy.age);
     if (m_missed)
-        ++m_missed->copyAttempts;
+        m_missed->onSourceFailed();
     return changes;
 }
 
@@ -322,7 +332,7 @@
     m_lastCopyAt = now;
     m_copyHost.clear();
     if (m_missed)
-        ++m_missed->copyAttempts;
+        m_missed->onSourceFailed();
 }
 
 std::vector<key_change> mirror_follower::onUpdate(const mirror_update &update,
@@ -367,8 +377,8 @@
 void mirror_follower::onMissed(std::int64_t revision, const std::string &host, absl::Time now)
 {
     if (!m_missed)
-        m_missed = {.revision = revision, .host = host, .since = now};
-    m_missed->revision = std::max(m_missed->revision, revision);
+        m_missed.emplace(revision, host, now);
+    m_missed->onTold(revision, host);
 }
 
 std::optional<mirror_update> mirror_follower::takeUpdate()
--- a/modules/replication/follower/mirror_follower.h
+++ b/modules/replication/follower/mirror_follower.h
@@ -2,6 +2,7 @@
 
 #include "directory/mirror/mirror_messages.h"
 #include "directory/mirror/prefix_mirror.h"
+#include "replication/follower/missed_change.h"
 #include "replication/reader/reader_order.h"
 #include "replication/update/mirror_update.h"
 
@@ -96,8 +97,6 @@
     static constexpr absl::Duration maxUpdateLag = absl::Milliseconds(1200);
     /** The interval at which copies are requested from other routers. */
     static constexpr absl::Duration copyInterval = absl::Milliseconds(100);
-    /** How many routers are asked for a missed update before the service is. */
-    static constexpr int maxCopyAttempts = 2;
     /** The maximum age of the first copy, while a more recent one can still be expected. */
     static constexpr absl::Duration maxFirstCopyAge = absl::Seconds(2);
 
@@ -110,9 +109,9 @@
     follower_step next(absl::Time now, bool hasPeers) const;
     /**
      * True if a pending watch should be aborted, because it has not delivered a change that another
-     * router knows.
+     * router knows. A watch that began after this router was told is left to its timeout.
      */
-    bool isWatchBehind(absl::Time now) const;
+    bool isWatchBehind(absl::Time calledAt, absl::Time now) const;
     /**
      * True if a pending call for a listing should be aborted once, so that another router's copy
      * can be requested: the service may be silent, and this router has no replica yet.
@@ -170,22 +169,17 @@
     const prefix_mirror &mirror() const { return m_mirror; }
     /** True if this router is the one that reads the prefix for all, or takes over from it. */
     bool isReader(absl::Time now) const;
-    /** True if the replica was recently confirmed by the service, here or at another router. */
+    /**
+     * True if the replica was recently confirmed by the service, here or at another router, and
+     * this router has not waited long for a change that others know.
+     */
     bool isCurrent(absl::Time now) const;
+    /** Returns the change that other routers have and this one has not, if it knows of one. */
+    const std::optional<missed_change> &missed() const { return m_missed; }
     /** Returns when the service last confirmed the replica. */
     absl::Time confirmedAt() const { return m_confirmedAt; }
 
 private:
-    /** A change that another router has and this one has missed. */
-    struct missed_update
-    {
-        std::int64_t revision = 0;
-        /** The host of the router that has it; empty if it is not known. */
-        std::string host;
-        absl::Time since;
-        int copyAttempts = 0;
-    };
-
     /** Returns when the keys are listed if no other router gave a copy until then. */
     absl::Time firstListingAt() const;
     /** Returns the step before there is a replica; nothing once the service is to be called. */
@@ -199,11 +193,13 @@
     /** Returns the delay that spreads the requests of all routers for the same copy. */
     absl::Duration copySpread() const;
     void onStoreAnswer(absl::Time now);
-    /** Abandons the listing in progress, because the replica is complete without it. */
     /** Returns the last key that was listed; empty before the first page. */
     std::string lastListedKey() const;
+    /** Abandons the listing in progress, because the replica is complete without it. */
     void dropListing();
     void onMissed(std::int64_t revision, const std::string &host, absl::Time now);
+    /** Ends the missed change if the replica has it by now. */
+    void endMissed();
     std::vector<key_change> applyCopy(const mirror_copy &copy, absl::Time now);
     /** Records until when the replica is known to be current. */
     void confirm(std::int64_t revision, absl::Time asOf);
@@ -245,7 +241,7 @@
     absl::Time m_confirmedAt = absl::InfinitePast();
     /** When a router that precedes this one last sent an update. */
     absl::Time m_readerHeardAt = absl::InfinitePast();
-    std::optional<missed_update> m_missed;
+    std::optional<missed_change> m_missed;
     /** Since when other routers know a change that this one does not. */
     absl::Time m_behindSince = absl::InfiniteFuture();
     std::optional<mirror_update> m_outgoing;
