Replicas tell the eras of a store that comes back from an older copy apart

Seen by callers: nothing yet; the platform announces that its store may return to a copy some seconds old and give revisions out again (Store-Era). Cause: a revision alone ordered the states of the store, in replicas, updates, copies and digests. A replica kept what the store had lost, and a change with a revision that was given out again was taken for known. Change: platform/ puts the era into the high digits of each revision it reads (store_revision.h) and takes it off in each call. So each state of a later era is newer everywhere, and what an earlier era left in updates, copies or digests is older. A watch that is answered in another era leads to a listing; an answer of an earlier one is refused.

--- a/apps/edge/http_client.cpp
+++ b/apps/edge/http_client.cpp
@@ -115,7 +115,8 @@
     }
     if (!m_reader.head().keepAlive || !m_input.empty())
         close();
-    finish(http_result {.status = m_reader.head().status, .body = m_reader.takeBody()});
+    const response_head &head = m_reader.head();
+    finish(http_result {.status = head.status, .fields = head.fields, .body = m_reader.takeBody()});
 }
 
 void http_client::onConnectionLost()
--- a/apps/edge/http_client.h
+++ b/apps/edge/http_client.h
@@ -33,6 +33,7 @@
 struct http_result
 {
     int status = 0;
+    header_fields fields;
     std::string body;
 };
 
--- a/apps/edge/mirror_session.cpp
+++ b/apps/edge/mirror_session.cpp
@@ -154,16 +154,19 @@
 {
     const absl::Time now = edgeNow();
     const bool first = !m_follower.mirror().isComplete();
+    const auto era = platform::readEra(result.fields);
+    if (!era)
+        return false;
     std::vector<key_change> changes;
     if (step.kind == follower_step::action::Watch) {
-        const auto page = platform::readChanges(result.body);
+        const auto page = platform::readChanges(result.body, *era);
         if (!page)
             return false;
         reportUnreadable(page->unreadableCount);
         reportAnswer(step, page->revision, page->changes.size());
         changes = m_follower.onChanges(*page, step.revision, now);
     } else {
-        const auto page = platform::readListing(result.body);
+        const auto page = platform::readListing(result.body, *era);
         if (!page)
             return false;
         reportUnreadable(page->unreadableCount);
--- a/bench/emulator/store/emulated_store.cpp
+++ b/bench/emulator/store/emulated_store.cpp
@@ -25,7 +25,7 @@
     ++m_revision;
     m_items[key] = {.key = key, .value = value, .revision = m_revision};
     m_history.push_back({.key = key, .value = value, .revision = m_revision});
-    return m_revision;
+    return revision();
 }
 
 void emulated_store::remove(const std::string &key)
@@ -40,7 +40,7 @@
 {
     std::vector<stored_item> all;
     for (const auto &[key, item] : m_items)
-        all.push_back(item);
+        all.push_back(itemInEra(item));
     return all;
 }
 
@@ -82,7 +82,7 @@
         m_events.after(m_latency, [callback] { callback(std::nullopt); });
         return;
     }
-    listing_page page {.revision = m_revision};
+    listing_page page {.revision = revision()};
     for (const auto &[key, item] : m_items) {
         if (!key.starts_with(prefix) || key <= afterKey)
             continue;
@@ -90,17 +90,24 @@
             page.hasMore = true;
             break;
         }
-        page.items.push_back(item);
+        page.items.push_back(itemInEra(item));
     }
     answer(router, timeout, std::move(page), callback);
 }
 
+stored_item emulated_store::itemInEra(const stored_item &item) const
+{
+    return {.key = item.key, .value = item.value, .revision = revisionInEra(m_era, item.revision)};
+}
+
 change_page emulated_store::changesAfter(const std::string &prefix, std::int64_t after) const
 {
-    change_page page {.revision = m_revision};
+    change_page page {.revision = revision()};
     for (const key_change &change : m_history) {
-        if (change.revision > after && change.key.starts_with(prefix))
-            page.changes.push_back(change);
+        if (change.revision <= after || !change.key.starts_with(prefix))
+            continue;
+        page.changes.push_back(change);
+        page.changes.back().revision = revisionInEra(m_era, change.revision);
     }
     return page;
 }
@@ -114,13 +121,14 @@
         answer(router, timeout, std::nullopt, callback);
         return;
     }
-    if (after < m_historyStart) {
+    const std::int64_t from = serviceRevision(after);
+    if (from < m_historyStart || from > m_revision) {
         answer(router, timeout, history_lost {}, callback);
         return;
     }
     m_pendingWatches.push_back({.router = router,
                                 .prefix = prefix,
-                                .after = after,
+                                .after = from,
                                 .until = m_events.now() + wait,
                                 .callback = callback,
                                 .timeoutAt = m_events.now() + timeout,
@@ -167,6 +175,24 @@
     m_pendingWatches = std::move(affected);
 }
 
+void emulated_store::takeCopy()
+{
+    m_copiedItems = m_items;
+    m_copiedRevision = m_revision;
+}
+
+void emulated_store::restore()
+{
+    ++m_era;
+    m_items = m_copiedItems;
+    m_revision = m_copiedRevision;
+    m_history.clear();
+    m_historyStart = m_revision;
+    m_areWatchesDeaf = false;
+    for (const pending_watch &watch : std::exchange(m_pendingWatches, {}))
+        answer(watch.router, absl::Seconds(1), std::nullopt, watch.callback);
+}
+
 void emulated_store::deafenWatches()
 {
     m_areWatchesDeaf = true;
--- a/bench/emulator/store/emulated_store.h
+++ b/bench/emulator/store/emulated_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "directory/mirror/mirror_messages.h"
+#include "directory/mirror/store_revision.h"
 #include "simulation/event_queue.h"
 
 #include <absl/container/btree_map.h>
@@ -44,8 +45,15 @@
     /** Writes a key; returns the revision of the change. */
     std::int64_t write(const std::string &key, const std::string &value);
     void remove(const std::string &key);
-    /** Returns the revision of the last change. */
-    std::int64_t revision() const { return m_revision; }
+    /** Returns the revision of the last change; see store_revision.h. */
+    std::int64_t revision() const { return revisionInEra(m_era, m_revision); }
+    /** Takes the copy that restore() returns to. */
+    void takeCopy();
+    /**
+     * Returns to the last copy in a new era: revisions are given out again, the history is lost,
+     * and pending watches fail.
+     */
+    void restore();
     /** Returns all keys in their order. */
     std::vector<stored_item> items() const;
 
@@ -94,6 +102,8 @@
     /** Calls back with the result after the latency, or with nullopt if busy or timed out. */
     void answer(const std::string &router, absl::Duration timeout, store_answer result,
                 const store_callback &callback);
+    /** Returns an item with its revision in the current era. */
+    stored_item itemInEra(const stored_item &item) const;
     change_page changesAfter(const std::string &prefix, std::int64_t after) const;
     void completeWatches();
     /** Counts a call; true if it is beyond the limit. */
@@ -104,6 +114,10 @@
     std::vector<key_change> m_history;
     std::int64_t m_historyStart = 0;
     std::int64_t m_revision = 1;
+    std::int64_t m_era = 0;
+    /** Keys and revision of the last copy. */
+    absl::btree_map<std::string, stored_item> m_copiedItems;
+    std::int64_t m_copiedRevision = 1;
     store_mode m_mode = store_mode::Serving;
     absl::flat_hash_map<std::string, store_mode> m_modes;
     absl::Duration m_latency = absl::Milliseconds(4);
--- a/modules/replication/follower/mirror_follower.cpp
+++ b/modules/replication/follower/mirror_follower.cpp
@@ -1,5 +1,6 @@
 #include "replication/follower/mirror_follower.h"
 
+#include "directory/mirror/store_revision.h"
 #include "foundation/hashing/stable_hash.h"
 
 #include <algorithm>
@@ -194,9 +195,18 @@
 std::vector<key_change> mirror_follower::onListing(const listing_page &page,
                                                    const std::string &afterKey, absl::Time now)
 {
+    if (isOfEarlierEra(page.revision)) {
+        onFailure(now);
+        return {};
+    }
     onStoreAnswer(now);
     if (afterKey != lastListedKey())
         return {};
+    if (m_listedRevision && eraOf(*m_listedRevision) != eraOf(page.revision)) {
+        dropListing();
+        m_isListing = true;
+        return {};
+    }
     if (!m_listedRevision) {
         m_listedRevision = page.revision;
         m_listedAt = now;
@@ -228,7 +238,15 @@
 std::vector<key_change> mirror_follower::onChanges(const change_page &page,
                                                    std::int64_t watchedFrom, absl::Time now)
 {
+    if (isOfEarlierEra(page.revision)) {
+        onFailure(now);
+        return {};
+    }
     onStoreAnswer(now);
+    if (eraOf(page.revision) != eraOf(watchedFrom)) {
+        onHistoryLost(now);
+        return {};
+    }
     if (page.revision < watchedFrom) {
         onHistoryLost(now);
         m_isMistaken = true;
@@ -261,6 +279,11 @@
     m_revisionOfLoss = m_mirror.revision();
 }
 
+bool mirror_follower::isOfEarlierEra(std::int64_t revision) const
+{
+    return m_mirror.isComplete() && eraOf(revision) < eraOf(m_mirror.revision());
+}
+
 void mirror_follower::dropListing()
 {
     m_isListing = false;
@@ -338,7 +361,7 @@
 std::vector<key_change> mirror_follower::onUpdate(const mirror_update &update,
                                                   const std::string &host, absl::Time now)
 {
-    if (m_order.precedes(update.vm))
+    if (m_order.precedes(update.vm) && !isOfEarlierEra(update.revision))
         m_readerHeardAt = std::max(m_readerHeardAt, now);
     if (!m_mirror.isComplete()) {
         m_copyHost = host;
--- a/modules/replication/follower/mirror_follower.h
+++ b/modules/replication/follower/mirror_follower.h
@@ -193,6 +193,8 @@
     /** Returns the delay that spreads the requests of all routers for the same copy. */
     absl::Duration copySpread() const;
     void onStoreAnswer(absl::Time now);
+    /** True if the service was restored from an older copy since it gave this revision. */
+    bool isOfEarlierEra(std::int64_t revision) const;
     /** Returns the last key that was listed; empty before the first page. */
     std::string lastListedKey() const;
     /** Abandons the listing in progress, because the replica is complete without it. */
--- a/tests/platform/size_test.cpp
+++ b/tests/platform/size_test.cpp
@@ -52,7 +52,7 @@
         {"at", 4}}.dump();
 
     const auto start = std::chrono::steady_clock::now();
-    const auto page = platform::readListing(listing);
+    const auto page = platform::readListing(listing, 0);
     REQUIRE(page.has_value());
     auto options = platform::readConfiguration(page->items.front().value);
     REQUIRE(options.has_value());
--- a/tests/replica_fleet/replica_fleet.cpp
+++ b/tests/replica_fleet/replica_fleet.cpp
@@ -94,12 +94,17 @@
     m_events.after(delay, [this, owner = slot.get()] {
         if (!owner->isUp)
             return;
-        m_store.write(prefixes[memberPrefix] + nameOf(owner->vm), nameOf(owner->vm));
+        registerRouter(*owner);
         for (const auto &mirror : owner->mirrors)
             mirror->start();
     });
 }
 
+void replica_fleet::registerRouter(const router &owner)
+{
+    m_store.write(prefixes[memberPrefix] + nameOf(owner.vm), nameOf(owner.vm));
+}
+
 void replica_fleet::buildMirrors(router &owner)
 {
     const auto runWhenActive = [&owner](std::function<void()> action) {
@@ -148,6 +153,9 @@
     const std::string start = prefixes[memberPrefix];
     for (const stored_item &item : owner.mirrors[memberPrefix]->follower().mirror().items())
         owner.members.push_back(item.key.substr(start.size()));
+    if (std::find(owner.members.begin(), owner.members.end(), nameOf(owner.vm))
+        == owner.members.end())
+        registerRouter(owner);
     std::vector<std::string> others = owner.members;
     std::erase(others, nameOf(owner.vm));
     owner.peers.setMembers(std::move(others));
--- a/tests/replica_fleet/replica_fleet.h
+++ b/tests/replica_fleet/replica_fleet.h
@@ -79,6 +79,8 @@
 private:
     struct router;
 
+    /** Writes the record of a router, as it does when the service has lost it. */
+    void registerRouter(const router &owner);
     void buildMirrors(router &owner);
     void send(int from, const mirror_update &update);
     /** Sends a digest, by which others hear a router, and again at each interval. */
--- a/tests/replication/replica_fleet_test.cpp
+++ b/tests/replication/replica_fleet_test.cpp
@@ -304,7 +304,7 @@
             const int vm = *rc::gen::inRange(0, vms);
             const std::string key = targetKey(*rc::gen::inRange(0, 5));
             const std::string name = "vm-" + std::to_string(vm);
-            switch (*rc::gen::inRange(0, 14)) {
+            switch (*rc::gen::inRange(0, 16)) {
             case 0:
             case 1:
             case 2:
@@ -343,6 +343,12 @@
             case 12:
                 fleet.store().compactHistory();
                 break;
+            case 13:
+                fleet.store().takeCopy();
+                break;
+            case 14:
+                fleet.store().restore();
+                break;
             default:
                 fleet.store().loseWatchEvents();
             }
--- a/tests/stale_replica/stale_replica_test.cpp
+++ b/tests/stale_replica/stale_replica_test.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 const std::string configuration = replica_fleet::configurationKey;
+const std::string revokedKey = std::string(replica_fleet::targetPrefix) + "revoked";
 /** Far above a datagram, so that updates only announce it. */
 constexpr std::size_t configurationBytes = 20000;
 /** Until when a change must be in force, as the platform asks (configApplyMs). */
@@ -65,3 +66,68 @@
         CHECK(staleCount(fleet, 2) == 0);
     }
 }
+
+TEST_CASE("all replicas follow a service that comes back from an older copy", "[stale_replica]")
+{
+    const int vms = GENERATE(2, 6, 66, 340);
+    CAPTURE(vms);
+    replica_fleet fleet({.vms = vms});
+    fleet.store().write(configuration, version(1));
+    fleet.store().write(revokedKey, "valid");
+    fleet.run(absl::Seconds(8));
+    REQUIRE(fleet.isConverged());
+    fleet.store().takeCopy();
+    fleet.store().write(configuration, version(2));
+    fleet.store().write("servers/since", "ready");
+    fleet.store().remove(revokedKey);
+    fleet.run(absl::Seconds(2));
+    REQUIRE(fleet.isConverged());
+
+    SECTION("what was written and removed since the copy is undone at each router")
+    {
+        fleet.store().restore();
+        fleet.run(maxApplyTime);
+        CHECK(fleet.isConverged());
+        CHECK(staleCount(fleet, 1) == 0);
+    }
+
+    SECTION("revisions that are given out again do not hide the changes that have them")
+    {
+        fleet.store().restore();
+        for (int number = 0; number < 4; ++number)
+            fleet.store().write("servers/again-" + std::to_string(number), "ready");
+        fleet.run(maxApplyTime);
+        CHECK(fleet.isConverged());
+    }
+
+    SECTION("the operators write their changes again while the service comes back a second time")
+    {
+        fleet.store().restore();
+        fleet.run(absl::Milliseconds(300));
+        fleet.store().write(configuration, version(3));
+        fleet.store().restore();
+        fleet.store().write(configuration, version(4));
+        fleet.run(maxApplyTime);
+        CHECK(fleet.isConverged());
+        CHECK(staleCount(fleet, 4) == 0);
+    }
+
+    SECTION("a router that was paused before brings nothing of the earlier era back")
+    {
+        fleet.pause(0);
+        fleet.store().restore();
+        fleet.run(maxApplyTime);
+        fleet.resume(0);
+        fleet.run(maxApplyTime);
+        CHECK(fleet.isConverged());
+    }
+
+    SECTION("a router that can't reach the service gets the new state from the others")
+    {
+        fleet.store().setModeFor("vm-0", store_mode::Unresponsive);
+        fleet.store().restore();
+        fleet.run(2 * maxApplyTime);
+        CHECK(fleet.isConverged());
+    }
+    CHECK(fleet.violations().empty());
+}
