A member whose record the store has lost stays one, and writes its record again

Cause: the routers listed were all there are. When the store comes back from an older copy, records written since are gone: those routers were forgotten, and the others divided the fleet's limits among fewer; their records came back only with the next renewal, up to a minute later. Change: a record that is missing in a later era than it was seen in counts until its lifetime ends; a router writes its record when the store does not hold it.

--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -31,6 +31,8 @@
 constexpr int statusUnavailable = 503;
 constexpr absl::Duration writeTimeout = absl::Seconds(1);
 constexpr absl::Duration writeRetryDelay = absl::Seconds(1);
+/** How long after it was written this router's record is in its own replica at the latest. */
+constexpr absl::Duration recordVisibleTime = absl::Seconds(3);
 /** Records of targets expire only in an outage that is longer than two of their heartbeats. */
 constexpr double maxAgeInHeartbeats = 1.75;
 
@@ -243,7 +245,7 @@
         }
         records.push_back({.vm = std::move(vm), .host = item.value, .revision = item.revision});
     }
-    m_memberTable.apply(records, now);
+    m_memberTable.apply(records, m_ownRecords.follower().mirror().revision(), now);
     updateRouters(now);
 }
 
@@ -311,7 +313,10 @@
     updateRouters(now);
     if (now < m_writeAllowedAt)
         return;
-    if (now - m_recordRenewedAt >= member_table::renewalInterval) {
+    const absl::Duration recordAge = now - m_recordRenewedAt;
+    const bool isRecordLost
+        = recordAge >= recordVisibleTime && !m_memberTable.isStored(m_options.vm);
+    if (isRecordLost || recordAge >= member_table::renewalInterval) {
         write(platform::writeCall(memberPrefix + m_options.vm, m_options.host),
               [this, now] { m_recordRenewedAt = now; });
         return;
--- a/modules/membership/table/member_table.h
+++ b/modules/membership/table/member_table.h
@@ -28,7 +28,8 @@
  *
  * A router is a member until its record has not been renewed for a long time during which this
  * router could read the records. So a VM that is lost for good is removed, but not one that is
- * partitioned for a while.
+ * partitioned for a while. Nor is one whose record the key-value service has lost because it came
+ * back from an older copy: it is to write the record again.
  */
 class member_table
 {
@@ -38,8 +39,11 @@
     /** How long a record is valid without a renewal. */
     static constexpr absl::Duration lifetime = absl::Minutes(5);
 
-    /** Replaces the known records by those in the key-value service. */
-    void apply(const std::vector<member> &records, absl::Time now);
+    /**
+     * Replaces the known records by those that the key-value service holds at a revision (see
+     * store_revision.h).
+     */
+    void apply(const std::vector<member> &records, std::int64_t revision, absl::Time now);
     /** Resets the ages of all records, because they can be read again. */
     void onRecordsReadable(absl::Time now);
 
@@ -49,12 +53,16 @@
      * Returns the expired records, to be removed from the service if their revision is unchanged.
      */
     std::vector<member> expired(absl::Time now) const;
+    /** True if the service holds the record of a router, as far as is known. */
+    bool isStored(const std::string &vm) const;
 
 private:
     struct entry
     {
         member record;
         absl::Time renewedAt;
+        /** False if the service has lost the record. */
+        bool isStored = true;
     };
 
     absl::btree_map<std::string, entry> m_entries;
