A list of targets from an older copy brings no target back that was leaving, gone or restarted

Cause: the newest record of a target was taken as it stood. A store that comes back from an older copy lists targets as ready that had said that they leave, or whose record was gone, and lacks new ones until they write again: requests would go to the former (DRAIN) and not to the latter. Change: a new era of the list is taken for a short outage; an incarnation that was ever listed as draining stays excluded, one that was removed has to stay listed for as long as records outlive their targets, and a record of an earlier start is ignored.

--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -1,6 +1,7 @@
 #include "apps/edge/store_feed.h"
 
 #include "apps/edge/edge_clock.h"
+#include "directory/mirror/store_revision.h"
 #include "directory/target/ipv4_address.h"
 #include "platform/platform.h"
 
@@ -177,6 +178,11 @@
     const absl::Time now = edgeNow();
     if (first)
         m_context.log.line("targets_listed").number("count", std::ssize(changes));
+    const std::int64_t era = eraOf(m_targets.follower().mirror().revision());
+    if (era != std::exchange(m_targetEra, era) && !first) {
+        m_context.log.line("targets_restored").number("era", era);
+        m_context.node.directory().onListRestored(now);
+    }
     for (const key_change &change : changes) {
         const std::string id = platform::targetIdOf(change.key);
         const auto record
--- a/apps/edge/store_feed.h
+++ b/apps/edge/store_feed.h
@@ -91,6 +91,8 @@
     mirror_session m_targets;
     /** The records that the routers write: of themselves, and of prompt parts. */
     mirror_session m_ownRecords;
+    /** The era of the store in which the targets were last listed. */
+    std::int64_t m_targetEra = 0;
     part_records m_partRecords;
     transfer_limiter m_copyLimiter;
     std::shared_ptr<http_client> m_writer;
--- a/modules/directory/target/target_directory.cpp
+++ b/modules/directory/target/target_directory.cpp
@@ -18,9 +18,26 @@
     m_listAvailableSince = now;
 }
 
+void target_directory::onListRestored(absl::Time now)
+{
+    m_isListUnavailable = false;
+    m_listAvailableSince = now;
+    m_restoredAt = now;
+}
+
 void target_directory::apply(const target_record &record, absl::Duration coldStart, absl::Time now)
 {
     const auto found = m_targets.find(record.id);
+    const bool isOlderStart
+        = found != m_targets.end() && record.startedAtMs < found->second.record.startedAtMs;
+    if (isOlderStart && mayBeRestored(now)) {
+        found->second.lapsesAt = m_restoredAt + lapseGracePeriod;
+        return;
+    }
+    if (record.isDraining)
+        m_notices.onLeaving(record.id, record.startedAtMs, now);
+    else if (m_notices.wasRemoved(record) && mayBeRestored(now))
+        m_notices.onRefusing(record.id, record.startedAtMs, now + m_recordRemovalTime, now);
     const bool isNewIncarnation
         = found == m_targets.end() || found->second.record.startedAtMs != record.startedAtMs;
     target_state next {.record = record};
@@ -55,6 +72,7 @@
     const absl::Time graceEnd = m_listAvailableSince + lapseGracePeriod;
     const bool mayHaveLapsed = m_isListUnavailable || now < graceEnd;
     if (!mayHaveLapsed || found->second.record.isDraining) {
+        m_notices.onRemoved(id, found->second.record.startedAtMs, now);
         m_targets.erase(found);
         return;
     }
--- a/modules/directory/target/target_directory.h
+++ b/modules/directory/target/target_directory.h
@@ -57,6 +57,12 @@
     void onListUnavailable(absl::Time now);
     /** Must be called when the list can be read again. */
     void onListAvailable(absl::Time now);
+    /**
+     * Must be called before the list is applied that was restored from an older copy. For a moment
+     * it is taken for an outage, and what the list had told of a target before goes first: an older
+     * start is ignored, and a target that was removed has to stay listed to receive requests again.
+     */
+    void onListRestored(absl::Time now);
     /** Must be called with the time up to which the list is known to be complete. */
     void onListConfirmed(absl::Time asOf) { m_listConfirmedAt = asOf; }
     /**
@@ -125,6 +131,8 @@
 
 private:
     bool mayReceive(const target_state &state, absl::Time now) const;
+    /** True if the record may only be back because the list was restored from an older copy. */
+    bool mayBeRestored(absl::Time now) const { return now < m_restoredAt + lapseGracePeriod; }
     /** True if nothing but the target's own notice speaks against sending it requests. */
     bool isListedForUse(const target_state &state, absl::Time now) const;
     /** Removes entries whose grace period has ended. */
@@ -136,6 +144,7 @@
     absl::flat_hash_set<std::string> m_evacuated;
     bool m_isListUnavailable = false;
     absl::Time m_listAvailableSince = absl::InfinitePast();
+    absl::Time m_restoredAt = absl::InfinitePast();
     absl::Time m_listConfirmedAt = absl::InfinitePast();
 };
 
--- a/modules/directory/target/target_notices.cpp
+++ b/modules/directory/target/target_notices.cpp
@@ -29,11 +29,28 @@
 }
 
 absl::Time target_notices::refusesUntil(const target_record &record) const
+{
+    const notice *known = find(record);
+    return known == nullptr ? absl::InfinitePast() : known->refusesUntil;
+}
+
+void target_notices::onRemoved(const std::string &id, std::int64_t startedAtMs, absl::Time now)
+{
+    noticeOf(id, startedAtMs, now).isRemoved = true;
+}
+
+bool target_notices::wasRemoved(const target_record &record) const
+{
+    const notice *known = find(record);
+    return known != nullptr && known->isRemoved;
+}
+
+const target_notices::notice *target_notices::find(const target_record &record) const
 {
     const auto found = m_notices.find(record.id);
     if (found == m_notices.end() || found->second.startedAtMs != record.startedAtMs)
-        return absl::InfinitePast();
-    return found->second.refusesUntil;
+        return nullptr;
+    return &found->second;
 }
 
 } // namespace quetzal
--- a/tests/directory/target_directory_test.cpp
+++ b/tests/directory/target_directory_test.cpp
@@ -287,3 +287,61 @@
         CHECK(isStillListed(absl::Seconds(14)));
     }
 }
+
+TEST_CASE("a list of targets that was restored from an older copy", "[directory]")
+{
+    const absl::Time start = absl::UnixEpoch() + absl::Hours(1);
+    const absl::Duration removalTime = absl::Seconds(5);
+    target_directory directory(removalTime);
+    directory.apply(engine("a"), absl::ZeroDuration(), start);
+    const absl::Time restoredAt = start + absl::Seconds(10);
+    const absl::Time graceEnd = restoredAt + target_directory::lapseGracePeriod;
+
+    SECTION("a target that it lacks may receive requests until its record should be back")
+    {
+        directory.onListRestored(restoredAt);
+        directory.remove("a", restoredAt);
+        CHECK(directory.mayReceive("a", graceEnd - absl::Milliseconds(1)));
+        CHECK_FALSE(directory.mayReceive("a", graceEnd));
+    }
+
+    SECTION("a target that was leaving does not receive requests again")
+    {
+        target_record draining = engine("a");
+        draining.isDraining = true;
+        directory.apply(draining, absl::ZeroDuration(), start);
+        directory.onListRestored(restoredAt);
+        directory.apply(engine("a"), absl::ZeroDuration(), restoredAt);
+        CHECK_FALSE(directory.mayReceive("a", restoredAt));
+        CHECK_FALSE(directory.mayReceive("a", restoredAt + absl::Minutes(1)));
+    }
+
+    SECTION("a target that was gone receives requests only if it stays listed")
+    {
+        directory.remove("a", start + absl::Seconds(8));
+        directory.onListRestored(restoredAt);
+        directory.apply(engine("a"), absl::ZeroDuration(), restoredAt);
+        CHECK_FALSE(directory.mayReceive("a", restoredAt + removalTime - absl::Milliseconds(1)));
+        CHECK(directory.mayReceive("a", restoredAt + removalTime));
+    }
+
+    SECTION("without a restoration a target that was gone receives requests at once")
+    {
+        directory.remove("a", start + absl::Seconds(8));
+        directory.apply(engine("a"), absl::ZeroDuration(), restoredAt);
+        CHECK(directory.mayReceive("a", restoredAt));
+    }
+
+    SECTION("a record of an earlier start is ignored until the target has written its own again")
+    {
+        target_record restarted = engine("a");
+        restarted.startedAtMs = 2;
+        directory.apply(restarted, absl::ZeroDuration(), start);
+        directory.onListRestored(restoredAt);
+        directory.apply(engine("a"), absl::ZeroDuration(), restoredAt);
+        CHECK(directory.find("a")->record.startedAtMs == 2);
+        CHECK_FALSE(directory.mayReceive("a", graceEnd));
+        directory.apply(restarted, absl::ZeroDuration(), restoredAt + absl::Seconds(1));
+        CHECK(directory.mayReceive("a", graceEnd));
+    }
+}
