--- a/apps/edge/store_feed.cpp
+++ b/apps/edge/store_feed.cpp
@@ -162,15 +162,26 @@
     }
     if (!evacuationChanged)
         return;
-    absl::flat_hash_set<std::string> evacuated;
-    for (const stored_item &item : m_configuration.follower().mirror().items()) {
+    const prefix_mirror &mirror = m_configuration.follower().mirror();
+    absl::flat_hash_set<std::string> listed;
+    for (const stored_item &item : mirror.items()) {
         const std::string name = platform::evacuatedDataCentre(item.key);
         if (!name.empty())
-            evacuated.insert(name);
+            listed.insert(name);
     }
+    m_evacuations.apply(listed, mirror.revision(), edgeNow());
+    updateEvacuations(edgeNow());
+}
+
+void store_feed::updateEvacuations(absl::Time now)
+{
+    absl::flat_hash_set<std::string> evacuated = m_evacuations.current(now);
+    if (evacuated == m_evacuated)
+        return;
     m_context.log.line("evacuation")
         .number("dataCentres", static_cast<std::int64_t>(evacuated.size()));
-    m_context.node.setEvacuated(evacuated, edgeNow());
+    m_context.node.setEvacuated(evacuated, now);
+    m_evacuated = std::move(evacuated);
 }
 
 void store_feed::onTargets(const std::vector<key_change> &changes, bool first)
@@ -309,6 +320,7 @@
         session->update(now);
     }
     m_context.node.directory().onListConfirmed(m_targets.follower().confirmedAt());
+    updateEvacuations(now);
     maintainRecords(now);
 }
 
--- a/apps/edge/store_feed.h
+++ b/apps/edge/store_feed.h
@@ -6,6 +6,7 @@
 #include "apps/edge/part_records.h"
 #include "apps/edge/peer_exchange.h"
 #include "apps/edge/status_connection.h"
+#include "directory/evacuation/evacuation_list.h"
 #include "membership/table/member_table.h"
 #include "platform/store_dialect.h"
 #include "replication/copy/transfer_limiter.h"
@@ -55,6 +56,8 @@
 private:
     void onConfiguration(const std::vector<key_change> &changes);
     void onTargets(const std::vector<key_change> &changes, bool first);
+    /** Hands the evacuations in force to the node if they have changed. */
+    void updateEvacuations(absl::Time now);
     /** Logs what became of a target's record. */
     void logTarget(const key_change &change, const std::optional<target_record> &record);
     void onTargetsCurrentChanged(bool isCurrent);
@@ -91,6 +94,9 @@
     mirror_session m_targets;
     /** The records that the routers write: of themselves, and of prompt parts. */
     mirror_session m_ownRecords;
+    evacuation_list m_evacuations;
+    /** The data centres that the node last heard are evacuated. */
+    absl::flat_hash_set<std::string> m_evacuated;
     /** The era of the store in which the targets were last listed. */
     std::int64_t m_targetEra = 0;
     part_records m_partRecords;
