An answer whose status is 000, or any other that HTTP does not define, is no answer

Cause: statuses below 200 were taken for interim answers. A head of 000 without its whole body was passed on as the answer; 600 to 999 were passed on too. Change: response_reader takes a status outside 100 to 599 for a fault, on targets' connections as well as on those to the store.

--- a/modules/http/message/response_reader.cpp
+++ b/modules/http/message/response_reader.cpp
@@ -12,7 +12,9 @@
 namespace {
 
 constexpr std::uint32_t maxHeadBytes = 65536;
+constexpr int minStatus = 100;
 constexpr int firstFinalStatus = 200;
+constexpr int maxStatus = 599;
 constexpr int maxInterimResponses = 8;
 
 } // namespace
@@ -55,11 +57,12 @@
             = m_parser->put(boost::asio::const_buffer(rest.data(), rest.size()), error);
         used += consumed;
         if (error == http::error::need_more) {
-            m_isFaulty = isHeadComplete() && bytes.size() - used > maxChunkFramingBytes;
+            m_isFaulty = hasInvalidStatus()
+                || isHeadComplete() && bytes.size() - used > maxChunkFramingBytes;
             break;
         }
-        m_isFaulty = static_cast<bool>(error);
-        if (isComplete() && m_parser->head.status < firstFinalStatus)
+        m_isFaulty = static_cast<bool>(error) || hasInvalidStatus();
+        if (!m_isFaulty && isComplete() && m_parser->head.status < firstFinalStatus)
             skipInterimResponse();
         else if (consumed == 0)
             break;
@@ -67,6 +70,11 @@
     return used;
 }
 
+bool response_reader::hasInvalidStatus() const
+{
+    return isHeadComplete() && (head().status < minStatus || head().status > maxStatus);
+}
+
 void response_reader::skipInterimResponse()
 {
     if (++m_interimResponses > maxInterimResponses)
--- a/modules/http/message/response_reader.h
+++ b/modules/http/message/response_reader.h
@@ -41,6 +41,8 @@
     class parser;
     void reset();
     void skipInterimResponse();
+    /** True if the head is complete and its status is none that HTTP defines. */
+    bool hasInvalidStatus() const;
 
     bool m_isHead;
     std::unique_ptr<parser> m_parser;
--- a/tests/http/response_reader_test.cpp
+++ b/tests/http/response_reader_test.cpp
@@ -67,6 +67,20 @@
         CHECK(reader.isFaulty());
     }
 
+    SECTION("a status that is none is a fault, with a body and without one")
+    {
+        for (const char *status : {"000", "007", "099", "600", "999"}) {
+            const std::string line = std::string("HTTP/1.1 ") + status + " Odd\r\n";
+            for (const char *rest : {"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\nab",
+                                     "Transfer-Encoding: chunked\r\n\r\n", "\r\n"}) {
+                CAPTURE(status, rest);
+                response_reader odd;
+                odd.consume(line + rest);
+                CHECK(odd.isFaulty());
+            }
+        }
+    }
+
     SECTION("an interim response is skipped")
     {
         const std::string_view bytes
