A part of an answer is not complete when the connection breaks during the upload

Cause: the pending write takes the error of the reset, and the read sees only the end of the connection, which ends a body without length. Change: such an end counts as clean only if the upload is over and no write has failed.

--- a/apps/edge/target_connection.cpp
+++ b/apps/edge/target_connection.cpp
@@ -38,6 +38,7 @@
     ++m_exchangeCount;
     m_isBusy = true;
     m_isSent = false;
+    m_isBroken = false;
     m_isHeadAccepted = false;
     m_isSkipping = false;
     m_isPaused = false;
@@ -82,6 +83,7 @@
     boost::asio::async_write(m_socket, bytes, [self](const error_code &error, std::size_t) {
         self->m_isWriting = false;
         self->m_request.release();
+        self->m_isBroken = self->m_isBroken || error;
         if (error && !self->m_isClosed && !self->m_isReading)
             self->fail("write_failed");
     });
@@ -99,8 +101,10 @@
                                  self->m_isReading = false;
                                  if (self->m_isClosed)
                                      return;
+                                 // Of a reset during the upload, only the write may learn.
+                                 const bool isUploadOver = !self->m_isWriting && !self->m_isBroken;
                                  if (error)
-                                     self->onEnd(error == boost::asio::error::eof);
+                                     self->onEnd(error == boost::asio::error::eof && isUploadOver);
                                  else
                                      self->onBytes(count);
                              });
@@ -175,17 +179,17 @@
     callbacks.onComplete();
 }
 
-void target_connection::onEnd(bool isEndOfFile)
+void target_connection::onEnd(bool isCleanEnd)
 {
     const auto self = shared_from_this();
     if (!m_isBusy) {
         close();
         return;
     }
-    if (isEndOfFile)
+    if (isCleanEnd)
         m_reader.consumeEnd();
-    if (!isEndOfFile || !m_reader.isComplete() || !m_isHeadAccepted) {
-        fail(isEndOfFile ? "closed_early" : "broken");
+    if (!isCleanEnd || !m_reader.isComplete() || !m_isHeadAccepted) {
+        fail(isCleanEnd ? "closed_early" : "broken");
         return;
     }
     const std::string body = m_reader.takeBody();
--- a/apps/edge/target_connection.h
+++ b/apps/edge/target_connection.h
@@ -75,7 +75,7 @@
     void write();
     void read();
     void onBytes(std::size_t count);
-    void onEnd(bool isEndOfFile);
+    void onEnd(bool isCleanEnd);
     void processInput();
     void complete(bool hasExtraBytes);
     void fail(std::string_view reason, bool isTargetAlive = false);
@@ -97,6 +97,8 @@
     bool m_isBusy = false;
     bool m_isSent = false;
     bool m_isWriting = false;
+    /** True if a write of this exchange failed. */
+    bool m_isBroken = false;
     bool m_isReading = false;
     bool m_isPaused = false;
     bool m_isHeld = false;
