--- a/tests/quarantine/part_archive_test.cpp
+++ b/tests/quarantine/part_archive_test.cpp
@@ -52,6 +52,25 @@
     CHECK(write->expectedRevision == 0);
     CHECK_FALSE(write->isRemoval);
 
+    SECTION("also when the service comes back from an older copy without the record")
+    {
+        archive.onRecord(write->part, 8);
+        CHECK_FALSE(writeOf(archive, quarantine, second));
+        archive.onRecordRemoved(fatalPart);
+        CHECK(writeOf(archive, quarantine, second) == write);
+    }
+
+    SECTION("also when the copy holds what was known some ends before")
+    {
+        held_part earlier = write->part;
+        earlier.ends.pop_back();
+        archive.onRecord(earlier, 9);
+        const auto again = writeOf(archive, quarantine, second);
+        REQUIRE(again);
+        CHECK(again->part == write->part);
+        CHECK(again->expectedRevision == 9);
+    }
+
     const clock_reading before {.now = second, .timeOfDayMs = 1000000};
     const std::string text = encodePartRecord(write->part, before);
     // The clocks of the routers that start are others, and one of them is behind.
