--- a/bench/emulator/router/emulated_router.cpp
+++ b/bench/emulator/router/emulated_router.cpp
@@ -157,9 +157,10 @@
 {
     const absl::Time now = m_network.events().now();
     std::vector<member> records;
-    for (const stored_item &item : m_mirrors[memberMirror]->follower().mirror().items())
+    const prefix_mirror &mirrored = m_mirrors[memberMirror]->follower().mirror();
+    for (const stored_item &item : mirrored.items())
         records.push_back({.vm = item.value, .host = item.value, .revision = item.revision});
-    m_members.apply(records, now);
+    m_members.apply(records, mirrored.revision(), now);
     router_group group {.self = vm(), .members = {vm()}};
     for (const member &entry : m_members.current(now)) {
         if (entry.vm != vm())
