Routers that turn to another one at the same moment turn to different ones

Cause: each router took the others in the order of their addresses from the lowest on, so that all that had missed a change asked the same one next, which sent what it could and was no further ahead. Change: peer_list goes on from the router's own host. Result: tests/exchange, peer_list: the check fails without it.

--- a/apps/edge/peer_exchange.cpp
+++ b/apps/edge/peer_exchange.cpp
@@ -33,6 +33,7 @@
     , m_timer(loop)
     , m_node(node)
     , m_port(address.port)
+    , m_peers(address.host)
 {
     m_socket.non_blocking(true);
 }
--- a/modules/exchange/peers/peer_list.h
+++ b/modules/exchange/peers/peer_list.h
@@ -23,6 +23,15 @@
     /** The maximum number of hosts that are remembered as heard. */
     static constexpr std::size_t maxHeardHosts = 4096;
 
+    /**
+     * @param self the host of this router: the others are taken in turn from there on, so that not
+     * all routers turn to the same one first
+     */
+    explicit peer_list(std::string self = {})
+        : m_lastHeard(std::move(self))
+    {
+    }
+
     /** Replaces the hosts of the members. */
     void setMembers(std::vector<std::string> hosts) { m_members = std::move(hosts); }
     const std::vector<std::string> &members() const { return m_members; }
--- a/tests/exchange/peer_list_test.cpp
+++ b/tests/exchange/peer_list_test.cpp
@@ -48,4 +48,17 @@
         peers.onHeard("new", later);
         CHECK(peers.next(later) == "new");
     }
+
+    SECTION("routers that turn to others at the same moment turn to different ones")
+    {
+        peer_list second("10.0.0.2");
+        peer_list last("10.0.0.9");
+        for (const char *host : {"10.0.0.1", "10.0.0.3", "10.0.0.4"}) {
+            second.onHeard(host, start);
+            last.onHeard(host, start);
+        }
+        CHECK(second.next(start) == "10.0.0.3");
+        CHECK(second.next(start) == "10.0.0.4");
+        CHECK(last.next(start) == "10.0.0.1");
+    }
 }
