A replica that holds a later era than the service is replaced, a late answer of an earlier one is not

Cause: every answer of an earlier era than the replica's was refused. A spoiled update could move a replica to an era that the service never had, and it would have stayed there for ever. Change: an answer to a call that was made from the later era, or a listing that follows it, shows that the replica is mistaken; any other answer of an earlier era is late and changes nothing. Result: tests/replication, mirror_follower: spoiled revisions with and without an era, corrected by a watch or by a lost history; late answers.

--- a/modules/replication/follower/mirror_follower.cpp
+++ b/modules/replication/follower/mirror_follower.cpp
@@ -195,7 +195,8 @@
 std::vector<key_change> mirror_follower::onListing(const listing_page &page,
                                                    const std::string &afterKey, absl::Time now)
 {
-    if (isOfEarlierEra(page.revision)) {
+    // Without a listing in progress the page is late; with one, the replica itself is mistaken.
+    if (isOfEarlierEra(page.revision) && !m_isListing) {
         onFailure(now);
         return {};
     }
@@ -238,12 +239,13 @@
 std::vector<key_change> mirror_follower::onChanges(const change_page &page,
                                                    std::int64_t watchedFrom, absl::Time now)
 {
-    if (isOfEarlierEra(page.revision)) {
+    const bool isLate = isOfEarlierEra(page.revision) && page.revision >= watchedFrom;
+    if (isLate) {
         onFailure(now);
         return {};
     }
     onStoreAnswer(now);
-    if (eraOf(page.revision) != eraOf(watchedFrom)) {
+    if (eraOf(page.revision) > eraOf(watchedFrom)) {
         onHistoryLost(now);
         return {};
     }
--- a/tests/replication/follower_fixture.h
+++ b/tests/replication/follower_fixture.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "directory/mirror/store_revision.h"
 #include "replication/replication.h"
 
 #include <string>
--- a/tests/replication/mirror_follower_test.cpp
+++ b/tests/replication/mirror_follower_test.cpp
@@ -275,7 +275,11 @@
 
     SECTION("an update that no router sent is corrected by the service")
     {
-        follower.onUpdate(updateOf("odd", 3, 1000000, {written("a/odd", "x", 999999)}), "odd", now);
+        const std::int64_t spoiled = GENERATE(std::int64_t {1000000}, revisionInEra(7, 5));
+        const bool isWatchAnswered = GENERATE(true, false);
+        CAPTURE(spoiled, isWatchAnswered);
+        follower.onUpdate(updateOf("odd", 3, spoiled, {written("a/odd", "x", spoiled - 1)}), "odd",
+                          now);
         CHECK(follower.mirror().items().size() == 2);
         absl::Time time = now;
         while (time < now + absl::Seconds(3) && follower.next(time, true).kind == action::Idle) {
@@ -284,7 +288,10 @@
         }
         const follower_step step = follower.next(time, true);
         REQUIRE(step.kind == action::Watch);
-        CHECK(follower.onChanges({.changes = {}, .revision = 14}, step.revision, time).empty());
+        if (isWatchAnswered)
+            CHECK(follower.onChanges({.changes = {}, .revision = 14}, step.revision, time).empty());
+        else
+            follower.onHistoryLost(time);
         REQUIRE(follower.next(time, true).kind == action::List);
         const auto changes
             = follower.onListing({.items = {item("a/1", "x", 3)}, .revision = 15}, {}, time);
@@ -297,6 +304,19 @@
         CHECK(follower.next(time, true).kind == action::Idle);
     }
 
+    SECTION("answers of an earlier era that come late change nothing")
+    {
+        const std::int64_t restored = revisionInEra(1, 2);
+        follower.onCopy({.items = {item("a/1", "y", restored)}, .revision = restored}, now);
+        CHECK(follower.onChanges({.changes = {written("a/1", "z", 11)}, .revision = 11}, 9, now)
+                  .empty());
+        CHECK(
+            follower.onListing({.items = {item("a/1", "z", 11)}, .revision = 11}, {}, now).empty());
+        follower.onUpdate(updateOf(reader, 3, 12, {written("a/1", "z", 12)}), reader, now);
+        CHECK(follower.mirror().items() == std::vector {item("a/1", "y", restored)});
+        CHECK(follower.mirror().revision() == restored);
+    }
+
     SECTION("an update that was only late is no gap")
     {
         follower.onUpdate(updateOf(reader, 9, 20), reader, now);
