Test: an edge process whose store comes back from an older copy

The stand-in store returns to a copy, names its era in each answer and answers 410 to a watch from a revision that it does not have.

--- a/standins/platform/platform_store.cpp
+++ b/standins/platform/platform_store.cpp
@@ -47,6 +47,14 @@
     model.transact({.success = {delete_operation {.range = {.key = key}}}}, absl::Now());
 }
 
+void platform_keys::restore(const store_model &copy)
+{
+    const std::lock_guard lock(mutex);
+    model = copy;
+    compactedUpTo = model.revision(absl::Now());
+    ++era;
+}
+
 platform_store::platform_store(std::shared_ptr<platform_keys> keys)
     : m_keys(std::move(keys))
 {
@@ -86,6 +94,12 @@
     return true;
 }
 
+void platform_store::answer(httplib::Response &response, const nlohmann::json &body, int status)
+{
+    response.set_header("Store-Era", std::to_string(m_keys->era));
+    answerJson(response, body, status);
+}
+
 void platform_store::list(const httplib::Request &request, httplib::Response &response)
 {
     const std::lock_guard lock(m_keys->mutex);
@@ -102,8 +116,7 @@
             break;
         items.push_back(itemJson(key));
     }
-    answerJson(response,
-               {{"items", items}, {"hasMore", hasMore}, {"at", m_keys->model.revision(now)}});
+    answer(response, {{"items", items}, {"hasMore", hasMore}, {"at", m_keys->model.revision(now)}});
 }
 
 void platform_store::watch(const httplib::Request &request, httplib::Response &response)
@@ -116,8 +129,8 @@
         {
             const std::lock_guard lock(m_keys->mutex);
             const absl::Time now = absl::Now();
-            if (after < m_keys->compactedUpTo) {
-                answerJson(response, {{"error", "compacted"}}, statusGone);
+            if (after < m_keys->compactedUpTo || after > m_keys->model.revision(now)) {
+                answer(response, {{"error", "compacted"}}, statusGone);
                 return;
             }
             nlohmann::json events = nlohmann::json::array();
@@ -129,7 +142,7 @@
                     events.push_back(itemJson(event.key));
             }
             if (!events.empty() || now >= end || m_server.isFinishing()) {
-                answerJson(response, {{"events", events}, {"at", m_keys->model.revision(now)}});
+                answer(response, {{"events", events}, {"at", m_keys->model.revision(now)}});
                 return;
             }
         }
@@ -158,10 +171,9 @@
             delete_operation {.range = {.key = key.get<std::string>()}});
     const std::lock_guard lock(m_keys->mutex);
     const absl::Time now = absl::Now();
-    const auto answer = m_keys->model.transact(transaction, now);
-    const bool succeeded = answer && answer->succeeded;
-    answerJson(response, {{"revision", m_keys->model.revision(now)}},
-               succeeded ? 200 : statusConflict);
+    const auto done = m_keys->model.transact(transaction, now);
+    const bool succeeded = done && done->succeeded;
+    answer(response, {{"revision", m_keys->model.revision(now)}}, succeeded ? 200 : statusConflict);
 }
 
 } // namespace quetzal::standins
--- a/standins/platform/platform_store.h
+++ b/standins/platform/platform_store.h
@@ -16,6 +16,11 @@
     store_model model;
     /** Watches that start before this revision are answered 410. */
     std::int64_t compactedUpTo = 0;
+    /** Rises each time that the store comes back from an older copy. */
+    std::int64_t era = 0;
+
+    /** Returns to the contents of an older copy, without its history. */
+    void restore(const store_model &copy);
 
     /** Writes a key unconditionally, as an operator or a target does. */
     void write(const std::string &key, const std::string &value);
@@ -54,6 +59,8 @@
     void list(const httplib::Request &request, httplib::Response &response);
     void watch(const httplib::Request &request, httplib::Response &response);
     void transact(const httplib::Request &request, httplib::Response &response);
+    /** Answers a call; the keys must be locked. */
+    void answer(httplib::Response &response, const nlohmann::json &body, int status = 200);
 
     std::shared_ptr<platform_keys> m_keys;
     std::atomic<store_mode> m_mode {store_mode::Up};
