--- a/modules/replication/replication.h
+++ b/modules/replication/replication.h
@@ -12,6 +12,7 @@
 
 #include "replication/copy/transfer_limiter.h"
 #include "replication/follower/mirror_follower.h"
+#include "replication/follower/missed_change.h"
 #include "replication/reader/reader_order.h"
 #include "replication/update/mirror_update.h"
 #include "replication/update/update_codec.h"
