The router's own path takes a status that HTTP does not define for no answer

Cause: callBuffered of quetzal-router passed any status on that its HTTP library could read. Change: a status outside 200 to 599 is a lost answer, and the request is cancelled at the target.

--- a/apps/router/target_call.cpp
+++ b/apps/router/target_call.cpp
@@ -17,6 +17,8 @@
 constexpr absl::Duration cancelTimeout = absl::Seconds(1);
 constexpr int maxResumptions = 5;
 constexpr int statusOk = 200;
+constexpr int minAnswerStatus = 200;
+constexpr int maxAnswerStatus = 599;
 constexpr int serviceUnavailable = 503;
 constexpr std::size_t maxAnswerBytes = std::size_t {64} * 1024 * 1024;
 
@@ -96,6 +98,12 @@
     client.Delete("/v1/requests/" + request.requestId);
 }
 
+/** True if the status is one of those that HTTP defines for an answer. */
+bool isAnswerStatus(int status)
+{
+    return status >= minAnswerStatus && status <= maxAnswerStatus;
+}
+
 double unitsOfBody(const target_request &request, const std::string &body)
 {
     if (!request.isModel)
@@ -277,6 +285,10 @@
         return {failedAttempt(result.error(), monotonicNow() - start, timeout), {}};
     }
     head.body = std::move(body);
+    if (!isAnswerStatus(head.status)) {
+        cancelAtTarget(request);
+        return {failedAttempt(httplib::Error::Read, monotonicNow() - start, timeout), {}};
+    }
     if (isRefusal(head))
         return {refusedAttempt(head), {}};
     const std::string instance = head.get_header_value("X-Instance-Id");
--- a/tests/edge/http_client_test.cpp
+++ b/tests/edge/http_client_test.cpp
@@ -59,6 +59,22 @@
 
 } // namespace
 
+TEST_CASE("an answer of the store, or of another router, whose status is none fails", "[edge]")
+{
+    const std::string status = GENERATE("000", "099", "600", "999");
+    CAPTURE(status);
+    endless_server server("HTTP/1.1 " + status + " Odd\r\nContent-Length: 2\r\n\r\n{}", " ");
+    boost::asio::io_context loop;
+    const auto client = std::make_shared<http_client>(loop, server.address());
+    bool isFailed = false;
+    client->call({.target = "/x", .timeout = absl::Seconds(20)},
+                 [&](const std::optional<http_result> &result) { isFailed = !result; });
+    const absl::Time startedAt = absl::Now();
+    loop.run();
+    CHECK(isFailed);
+    CHECK(absl::Now() - startedAt < absl::Seconds(15));
+}
+
 TEST_CASE("an answer of the store, or of another router, that never ends is given up", "[edge]")
 {
     const std::string chunked = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
