--- a/tests/edge/restored_store_test.cpp
+++ b/tests/edge/restored_store_test.cpp
@@ -46,10 +46,13 @@
     revoked.replace(revoked.find("\"k\""), 3, "\"n\"");
     keys->write("op/config", revoked);
     REQUIRE(eventually([&] { return answers("k", "401"); }));
-    keys->restore(copy);
+    const auto restore = [&] {
+        keys->restore(copy);
+    };
 
     SECTION("writes its own record again, and what was revoked stays revoked")
     {
+        restore();
         CHECK(eventually([&] { return hasKey(*keys, ownRecord); }));
         CHECK(answers("k", "401"));
         CHECK(answers("n", "200"));
@@ -57,12 +60,32 @@
 
     SECTION("takes the next version, although its revision was given out before")
     {
+        restore();
         std::string next = configuration(5);
         next.replace(next.find("\"k\""), 3, "\"m\"");
         keys->write("op/config", next);
         CHECK(eventually([&] { return answers("m", "200"); }));
         CHECK(answers("n", "401"));
     }
+    SECTION("sends nothing to a target that was leaving, which the copy lists as ready")
+    {
+        keys->write("servers/i-1", engine.entry("s", "draining"));
+        REQUIRE(eventually([&] { return answers("n", "503"); }));
+        restore();
+        REQUIRE(eventually([&] { return hasKey(*keys, ownRecord); }));
+        CHECK(answers("n", "503"));
+    }
+
+    SECTION("sends nothing to an evacuated data centre while the operators may write it again")
+    {
+        keys->write("op/evacuate/north", "{}");
+        REQUIRE(eventually([&] { return answers("n", "503"); }));
+        restore();
+        const auto restoredAt = std::chrono::steady_clock::now();
+        REQUIRE(eventually([&] { return answers("n", "200"); }));
+        // The store is read within 0.7 s, and the evacuation stays for three seconds after that.
+        CHECK(std::chrono::steady_clock::now() - restoredAt > std::chrono::milliseconds(2900));
+    }
     router.stop();
     store.finish();
 }
