--- a/tests/target_call/target_call_test.cpp
+++ b/tests/target_call/target_call_test.cpp
@@ -1,5 +1,6 @@
 #include "apps/router/target_call.h"
 
+#include <absl/strings/str_cat.h>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
@@ -82,7 +83,8 @@
     SECTION("is complete with its length, or with the end of the connection")
     {
         for (const std::string rest : {"Content-Length: 5\r\n\r\nwhole", "\r\nwhole"}) {
-            raw_target target("HTTP/1.1 200 OK\r\n" + fields + rest, connection_end::AfterRequest);
+            raw_target target(absl::StrCat("HTTP/1.1 200 OK\r\n", fields, rest),
+                              connection_end::AfterRequest);
             request.address = target.address();
             const buffered_outcome outcome = callBuffered(request);
             CHECK(outcome.result.ending == attempt_ending::Completed);
@@ -94,8 +96,8 @@
     {
         for (const std::string status : {"000", "007", "099", "600", "999"}) {
             CAPTURE(status);
-            raw_target target("HTTP/1.1 " + status + " Odd\r\n" + fields
-                                  + "Content-Length: 5\r\n\r\nwhole",
+            raw_target target(absl::StrCat("HTTP/1.1 ", status, " Odd\r\n", fields,
+                                           "Content-Length: 5\r\n\r\nwhole"),
                               connection_end::AfterRequest);
             request.address = target.address();
             CHECK(callBuffered(request).result.ending == attempt_ending::LostBeforeAnswer);
